--- /dev/null
+++ b/src/main/java/gingerring/Main.java
@@ -0,0 +1,17 @@
+package gingerring;
+
+import gingerring.drill.Drill;
+import java.io.IOException;
+
+/** The command line: one subcommand for each way to run the router. */
+public final class Main {
+  private Main() {}
+
+  public static void main(String[] args) throws IOException {
+    if (args.length == 1 && args[0].equals("drill")) {
+      System.exit(new Drill(System.in, System.out).run(System.err));
+    }
+    System.err.println("usage: java -jar gingerring.jar drill    decide on the bench's wire, on standard input and output");
+    System.exit(2);
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/decide/Host.java
@@ -0,0 +1,41 @@
+package gingerring.decide;
+
+import java.time.Duration;
+
+/** All that a mixer can do, and the clock it does it by. Every call takes effect at once. */
+public interface Host {
+  /** Time since the start of this mixer. */
+  Duration now();
+
+  /** Starts a trip for a part; trips of a part number 0, 1, 2 in the order of these calls. */
+  void send(PartId part, SearcherId searcher, Duration timeOut);
+
+  /** Stops waiting for a trip. */
+  void recall(PartId part, int trip);
+
+  /** Answers a scan from the parts that are in. */
+  void answer(ScanId scan, boolean whole);
+
+  /** Sends a scan back: to ask again does no harm. {@code comeBack} is advice; zero for none. */
+  void nack(ScanId scan, Duration comeBack);
+
+  /** Gives a scan up, and promises nothing of its effect. */
+  void scrap(ScanId scan);
+
+  void probe(SearcherId searcher);
+
+  void closeIdle(SearcherId searcher);
+
+  /** Subscribes to changes of the roster, or ends that. */
+  void watchRoster(boolean on);
+
+  /** Asks for the whole roster once. */
+  void fetchRoster();
+
+  /** Sends bytes to one peer, or to all of them where {@code peer} is -1. */
+  void tell(int peer, byte[] bytes);
+
+  void wakeAfter(Duration span, WakeId wake);
+
+  void log(String line);
+}
--- /dev/null
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -0,0 +1,801 @@
+package gingerring.decide;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides what becomes of the scans at one mixer. Its host calls one method for each thing that happens, one call
+ * at a time, and the mixer acts at once through the {@link Host} that it was handed at start. Nothing here knows
+ * of a wire, another mixer or a real clock. docs/design.md says what is the design's and what departs from it.
+ */
+public final class Mixer {
+  // The design's starting values.
+  private static final Duration PRESSURE_WINDOW = Duration.ofSeconds(2);
+  private static final double PRESSURE_BOUND = 0.1;
+  private static final double COVERAGE_STEP = 0.1;
+  private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
+
+  /** How long before the quoted time a partial answer goes out: a few round trips and ticks. */
+  private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
+  /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
+  private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
+  /** The share of the time left that a part's expected stay may take: stays scatter about what is expected. */
+  private static final double STAY_SHARE = 0.8;
+  /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
+  private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
+  private static final int BUCKETS = 12;
+  private static final Duration LOOK_ROUND = Duration.ofMillis(100);
+  /** No word for this long, and for this many usual waits, is silence: longer than pauses of healthy searchers. */
+  private static final Duration SILENCE = Duration.ofMillis(700);
+  private static final double SILENCE_WAITS = 3;
+  private static final double ERROR_SHARE = 0.4;
+  private static final double ERRORS_LEAST = 2;
+  /** So many times the pace of the middle peer is slow. */
+  private static final double SLOW_TIMES = 3;
+  private static final double ANSWERS_LEAST = 3;
+  private static final Duration BENCH_LEAST = Duration.ofSeconds(2);
+  private static final Duration BENCH_MOST = Duration.ofSeconds(8);
+  private static final int TRIALS = 3;
+  /** With more than this share of the fleet benched the fault is not the searchers': then none is avoided. */
+  private static final double BENCHED_MOST = 0.5;
+  /** Own ration of further trips, beside any that the rules set: so many, and so many for each first trip. */
+  private static final double EXTRA_FEW = 2;
+  private static final double EXTRA_SHARE = 0.1;
+  /** How much a try's time must fall short of the longest seen to show that earlier tries used up the rest. */
+  private static final double SHORT_TRY = 0.98;
+  private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
+  private static final double WEIGHT_SLACK = 0.00005;
+  private static final int LOG_LINES = 60;
+
+  private final Host host;
+  private final RandomGenerator chance;
+  private final List<Grade> grades = new ArrayList<>();
+  private final Map<SearcherId, Searcher> searchers = new TreeMap<>();
+  private final Map<Integer, List<Searcher>> cells = new HashMap<>();
+  private final Map<ScanId, Scan> scans = new HashMap<>();
+  private final Map<Long, Scan> scansByNumber = new HashMap<>();
+  private final Map<PartId, Part> parts = new HashMap<>();
+  private final Map<WakeId, Runnable> wakes = new HashMap<>();
+  private int wakeCount;
+  private int logged;
+
+  private final int places;
+  private final int reach;
+  private final int callParts;
+  private final int tripsMost;
+  private final boolean copies;
+  private final boolean recalls;
+  private final boolean probes;
+  private final Duration comeBackMost;
+  private final double coldFrom;
+  private final Duration warmUp;
+  private final Duration tipAfter;
+  private final boolean rationed;
+  private final double extraFree;
+  private final double extraRatio;
+  private final TimeRing rationExtras;
+  private final TimeRing rationTaken;
+
+  private final TimeRing firsts = new TimeRing(PRESSURE_WINDOW, BUCKETS);
+  private final TimeRing extras = new TimeRing(PRESSURE_WINDOW, BUCKETS);
+  private final TimeRing turnedAway = new TimeRing(PRESSURE_WINDOW, BUCKETS);
+  private double coverage = 1;
+  private Duration coverageMoved = Duration.ZERO;
+
+  public Mixer(Map<String, String> map, RandomGenerator chance, Host host) {
+    this.host = host;
+    this.chance = chance;
+    Terms terms = new Terms(map);
+    places = terms.count("Domain.Places");
+    reach = terms.count("Domain.Reach");
+    callParts = (int) terms.number("Domain.Batch", 1);
+    tripsMost = (int) terms.number("PolicyLimits.MaxAttempts", 1);
+    copies = terms.flag("PolicyLimits.SecondCopies");
+    recalls = terms.flag("PolicyLimits.Cancel");
+    probes = terms.flag("PolicyLimits.Probing");
+    comeBackMost = terms.flag("PolicyLimits.RetryAfter")
+        ? millis(terms.number("PolicyLimits.MaxRetryAfterMs", 0)) : Duration.ZERO;
+    coldFrom = terms.number("Safety.ColdFrom", 1);
+    warmUp = millis(terms.number("Safety.WarmUpMs", 0));
+    tipAfter = millis(terms.number("Safety.TipAfterMs", 1));
+    rationed = map.containsKey("Safety.ResendSpanMs");
+    Duration span = millis(terms.number("Safety.ResendSpanMs", 1));
+    extraFree = terms.number("Safety.ExtraFree", 0);
+    extraRatio = terms.number("Safety.ResendRatio", 0);
+    rationExtras = new TimeRing(span, BUCKETS);
+    rationTaken = new TimeRing(span, BUCKETS);
+    for (int i = 0; i < terms.count("Classes.count"); i++) {
+      grades.add(grade(terms, i));
+    }
+    if (terms.text("Discovery").equals("subscribe")) {
+      host.watchRoster(true);
+    }
+    wakeAfter(LOOK_ROUND, this::lookRound);
+  }
+
+  private static Grade grade(Terms terms, int i) {
+    String at = "Classes." + i + ".";
+    Grade grade = new Grade();
+    String repeats = terms.text(at + "Idempotency");
+    grade.repeats = switch (repeats) {
+      case "idempotent" -> Grade.Repeats.REISSUABLE;
+      case "deduplicated" -> Grade.Repeats.NUMBERED;
+      case "at_most_once" -> Grade.Repeats.AT_MOST_ONCE;
+      default -> throw new IllegalArgumentException("setting " + at + "Idempotency is unknown: " + repeats);
+    };
+    grade.quoted = millis(terms.number(at + "AimMs"));
+    grade.quotedStretch = terms.number(at + "AimStretch", 0);
+    grade.patience = millis(terms.number(at + "HardLimitMs"));
+    grade.window = grade.repeats == Grade.Repeats.NUMBERED ? millis(terms.number(at + "WindowMs")) : Duration.ZERO;
+    grade.lateShare = terms.number(at + "LateWorth", 0);
+    grade.need = terms.item("Domain.NeedByClass", i, 1);
+    grade.floor = terms.item("Domain.ClassFloor", i, grade.need);
+    grade.fetch = (int) terms.item("Domain.ClassFetch", i, 0);
+    return grade;
+  }
+
+  /** A scan has come, with all its parts: the ordinary path. */
+  public void scanArrived(ScanId id, long number, int gradeNumber, int tenant, long key, boolean repeat,
+      Duration work, Duration end, List<Part> arrived) {
+    Duration now = host.now();
+    Scan scan = new Scan(id, number, grades.get(gradeNumber), key, repeat, work, end);
+    scan.quoted = quotedEnd(scan, now);
+    hold(scan, arrived, now);
+    // all parts while coverage is full; under pressure the heaviest, up to the coverage and never under the floor
+    List<Part> selected = select(scan, arrived);
+    // each to the replica with the fewest own parts out, if one can be expected to answer in time
+    double placed = 0;
+    double late = 0;
+    for (Part part : selected) {
+      if (plan(part, now)) {
+        placed += part.weight;
+      } else if (holders(part).stream().anyMatch(this::trusted)) {
+        late++;
+      }
+    }
+    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
+    turnedAway.add(now, late);
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
+    for (Part part : selected) {
+      if (enough && part.planned != null) {
+        part.asked = true;
+        firsts.add(now, 1);
+        send(part, now);
+      }
+      unplan(part, now);
+    }
+    if (!enough) {
+      giveUp(scan);
+      return;
+    }
+    // it ends when its trips have, at the latest near its quoted time for what can be partial, or at its patience
+    wakeAt(scan.quoted.minus(ANSWER_MARGIN), () -> settle(scan));
+    wakeAt(scan.quoted, () -> quotedPassed(scan));
+    wakeAt(scan.end.minus(CLOSE_MARGIN), () -> patienceEnds(scan));
+  }
+
+  /** The parts of the second step have come: all are needed, so all are sent. */
+  public void secondStepArrived(long number, List<Part> arrived) {
+    Duration now = host.now();
+    Scan scan = scansByNumber.get(number);
+    if (scan == null) {
+      return;
+    }
+    hold(scan, arrived, now);
+    for (Part part : arrived) {
+      part.asked = true;
+      firsts.add(now, 1);
+      if (plan(part, now)) {
+        send(part, now);
+      }
+      unplan(part, now);
+    }
+    settle(scan);
+  }
+
+  private void hold(Scan scan, List<Part> arrived, Duration now) {
+    scans.put(scan.id, scan);
+    scansByNumber.put(scan.number, scan);
+    for (Part part : arrived) {
+      part.scan = scan;
+      scan.parts.add(part);
+      parts.put(part.id, part);
+    }
+    rationTaken.add(now, arrived.size() + (scan.parts.size() == arrived.size() ? 1 : 0));
+  }
+
+  /** Counted from the client's first try, where the time that it has left shows how long ago that was. */
+  private Duration quotedEnd(Scan scan, Duration now) {
+    Grade grade = scan.grade;
+    Duration left = scan.end.minus(now);
+    if (left.compareTo(grade.longestTry) > 0) {
+      grade.longestTry = left;
+    }
+    boolean shortTry = left.toNanos() < SHORT_TRY * grade.longestTry.toNanos();
+    Duration spent = shortTry ? max(Duration.ZERO, grade.patience.minus(left)) : Duration.ZERO;
+    Duration stretch = Duration.ofNanos((long) (grade.quotedStretch * scan.work.toNanos()));
+    return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
+  }
+
+  private List<Part> select(Scan scan, List<Part> arrived) {
+    double target = Math.max(coverage, least(scan));
+    if (target >= 1) {
+      return arrived;
+    }
+    List<Part> byWeight = new ArrayList<>(arrived);
+    byWeight.sort(Comparator.comparingDouble((Part part) -> -part.weight));
+    List<Part> selected = new ArrayList<>();
+    double sum = 0;
+    for (Part part : byWeight) {
+      if (sum >= target) {
+        break;
+      }
+      sum += part.weight;
+      selected.add(part);
+    }
+    return selected;
+  }
+
+  private static double least(Scan scan) {
+    return scan.grade.partial() ? scan.grade.floor : scan.grade.need;
+  }
+
+  private List<Searcher> holders(Part part) {
+    List<Searcher> holders = new ArrayList<>();
+    for (int j = 0; j < reach; j++) {
+      holders.addAll(cells.getOrDefault(Math.floorMod(part.shard + j, places), List.of()));
+    }
+    return holders;
+  }
+
+  /** Finds the replica for a part's next trip: fewest own parts out, ties from its home on. */
+  private boolean plan(Part part, Duration now) {
+    List<Searcher> holders = holders(part);
+    int home = home(part, Math.max(1, holders.size()));
+    Duration left = (now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end).minus(now);
+    for (int i = 0; i < holders.size(); i++) {
+      Searcher searcher = holders.get((home + i) % holders.size());
+      boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
+      if (!tried && usable(searcher) && coldRoom(searcher, now)
+          && stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos()
+          && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
+        part.planned = searcher;
+      }
+    }
+    if (part.planned != null) {
+      part.planned.plannedParts++;
+    }
+    return part.planned != null;
+  }
+
+  private void unplan(Part part, Duration now) {
+    if (part.planned != null) {
+      part.planned.plannedParts--;
+      part.planned = null;
+    }
+  }
+
+  private static int home(Part part, int holders) {
+    long seed = part.key != 0 ? part.key : part.scan.key != 0 ? part.scan.key : part.scan.id.number();
+    long hash = (seed * 0x9E3779B97F4A7C15L) ^ (part.shard * 0xC2B2AE3D27D4EB4FL);
+    hash = (hash ^ (hash >>> 32)) * 0xD6E8FEB86659FD93L;
+    return (int) Math.floorMod(hash ^ (hash >>> 32), (long) holders);
+  }
+
+  /** Own calls out at a searcher, with those that are planned. */
+  private int load(Searcher searcher, Duration now) {
+    boolean open = searcher.call != null && searcher.call.made.equals(now) && searcher.call.parts < callParts;
+    int joining = open ? Math.min(searcher.plannedParts, callParts - searcher.call.parts) : 0;
+    return searcher.callsOut + (searcher.plannedParts - joining + callParts - 1) / callParts;
+  }
+
+  /** How long a part sent now would stay, by the pace at which a searcher has answered this mixer of late. */
+  private Duration stay(Searcher searcher, Duration now) {
+    return pace(searcher, now).multipliedBy(searcher.out.size() + searcher.plannedParts + 1);
+  }
+
+  /** Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. */
+  private Duration pace(Searcher searcher, Duration now) {
+    noteBusy(searcher, now);
+    return Duration.ofNanos((long) (searcher.busy.sum(now) / Math.max(1, searcher.answers.sum(now))));
+  }
+
+  private static void noteBusy(Searcher searcher, Duration now) {
+    if (searcher.busySince != null) {
+      searcher.busy.add(now, now.minus(searcher.busySince).toNanos());
+    }
+    searcher.busySince = searcher.out.isEmpty() ? null : now;
+  }
+
+  private boolean trusted(Searcher searcher) {
+    return searcher.listing.standing() == Listing.Standing.READY && (searcher.benchedUntil == null || panic());
+  }
+
+  private boolean usable(Searcher searcher) {
+    boolean trialOver = searcher.trialsLeft == 0 || searcher.out.isEmpty() && searcher.plannedParts == 0;
+    return trusted(searcher) && (trialOver || panic());
+  }
+
+  private boolean panic() {
+    long ready = searchers.values().stream()
+        .filter(searcher -> searcher.listing.standing() == Listing.Standing.READY).count();
+    long benched = searchers.values().stream().filter(searcher ->
+        searcher.listing.standing() == Listing.Standing.READY && searcher.benchedUntil != null).count();
+    return benched > BENCHED_MOST * ready;
+  }
+
+  private boolean cold(Searcher searcher, Duration now) {
+    return searcher.startedAt != null && now.minus(searcher.startedAt).compareTo(warmUp.plus(tipAfter)) < 0;
+  }
+
+  /**
+   * The cold guard: in any window of the rule's length a searcher that started lately gets, of what a warm one gets
+   * from this mixer, no more than its present share of its capacity, every trip and copy counted from its first
+   * instant. Mixers that all keep to this stay far under the rule's multiple, whatever the load. It also keeps a
+   * searcher that is slow to start from drawing parts because it has none out. It may leave a fast starter idle.
+   */
+  private boolean coldRoom(Searcher searcher, Duration now) {
+    if (!cold(searcher, now)) {
+      return true;
+    }
+    double warmSends = 0;
+    int warm = 0;
+    for (Searcher other : searchers.values()) {
+      if (other.listing.standing() == Listing.Standing.READY && !cold(other, now)) {
+        warmSends += other.sends.sumWithin(now);
+        warm++;
+      }
+    }
+    double age = Math.max(0, now.minus(searcher.startedAt).minus(tipAfter).toNanos());
+    double share = Math.min(1, coldFrom + (1 - coldFrom) * age / Math.max(1, warmUp.toNanos()));
+    return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(1, share * warmSends / Math.max(1, warm));
+  }
+
+  private void send(Part part, Duration now) {
+    Searcher searcher = part.planned;
+    if (searcher.call == null || !searcher.call.made.equals(now) || searcher.call.parts >= callParts) {
+      searcher.call = new Trip.Call(now);
+      searcher.callsOut++;
+    }
+    noteBusy(searcher, now);
+    Trip trip = new Trip(part, searcher, now, searcher.call);
+    trip.call.parts++;
+    trip.call.out++;
+    part.trips.add(trip);
+    searcher.out.add(trip);
+    searcher.busySince = now;
+    searcher.sends.add(now, 1);
+    if (searcher.unheardSince == null) {
+      searcher.unheardSince = now;
+    }
+    host.send(part.id, searcher.id, part.scan.end.minus(now));
+  }
+
+  /** A trip has ended. {@code over}: the host takes no more trips for this part. */
+  public void tripEnded(PartId id, int number, Outcome outcome, boolean over, float[] load) {
+    Part part = parts.get(id);
+    if (part == null || number >= part.trips.size() || part.trips.get(number).outcome != null) {
+      return;
+    }
+    Duration now = host.now();
+    Trip trip = part.trips.get(number);
+    trip.outcome = outcome;
+    part.over |= over;
+    note(trip, now);
+    if (part.scan.closed) {
+      if (!part.out()) {
+        parts.remove(id);
+      }
+      return;
+    }
+    if (outcome == Outcome.SUCCEEDED) {
+      part.in = true;
+      recallTrips(part);
+    } else if (!part.out()) {
+      sendAgain(part, now);
+    }
+    settle(part.scan);
+  }
+
+  /** Books an ended trip to its searcher: its load, its pace, its errors. */
+  private void note(Trip trip, Duration now) {
+    Searcher searcher = trip.searcher;
+    noteBusy(searcher, now);
+    searcher.out.remove(trip);
+    if (--trip.call.out == 0) {
+      searcher.callsOut--;
+    }
+    if (searcher.out.isEmpty()) {
+      searcher.busySince = null;
+    }
+    switch (trip.outcome) {
+      case SUCCEEDED -> {
+        searcher.answers.add(now, 1);
+        searcher.waits.add(now, now.minus(trip.sent).toNanos());
+        heard(searcher);
+        searcher.settled.add(now, 1);
+        if (searcher.trialsLeft > 0) {
+          searcher.trialsLeft--;
+        }
+      }
+      case FULL -> {
+        heard(searcher);
+        pressed(trip, now);
+      }
+      case TIMED_OUT -> pressed(trip, now);
+      case ERROR, BROKEN, UNREACHABLE -> {
+        searcher.errors.add(now, 1);
+        searcher.settled.add(now, 1);
+        heard(searcher);
+        judge(searcher, now);
+      }
+      default -> { }
+    }
+  }
+
+  private static void heard(Searcher searcher) {
+    searcher.unheardSince = null;
+    if (!searcher.out.isEmpty()) {
+      searcher.unheardSince = searcher.out.iterator().next().sent;
+    }
+  }
+
+  private static void pressed(Trip trip, Duration now) {
+    if (!trip.judgedLate) {
+      trip.judgedLate = true;
+      trip.searcher.settled.add(now, 1);
+      trip.searcher.pressed.add(now, 1);
+    }
+  }
+
+  /** Another trip for a part, if rules, ration and time allow one and some other searcher can be expected to do it. */
+  private void sendAgain(Part part, Duration now) {
+    if (mayGoAgain(part, now) && withinRation(now) && plan(part, now)) {
+      extras.add(now, 1);
+      rationExtras.add(now, 1);
+      send(part, now);
+    }
+    unplan(part, now);
+  }
+
+  /** What the rules say of another trip now, whatever it may be good for. */
+  private boolean mayGoAgain(Part part, Duration now) {
+    Duration since = part.mayHaveRunSince();
+    boolean harmless = switch (part.scan.grade.repeats) {
+      case REISSUABLE -> true;
+      case NUMBERED -> since == null || now.minus(since).compareTo(part.scan.grade.window) < 0;
+      case AT_MOST_ONCE -> since == null;
+    };
+    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
+    return harmless && !part.scan.closed && !part.in && !part.over && part.trips.size() < tripsMost
+        && (out == 0 || out == 1 && copies) && now.compareTo(part.scan.end.minus(CLOSE_MARGIN)) < 0
+        && (!rationed || rationExtras.sum(now) + 1 <= extraFree + extraRatio * rationTaken.sumWithin(now));
+  }
+
+  /** Further trips feed a jam, so their number follows that of first trips, and none goes out under pressure. */
+  private boolean withinRation(Duration now) {
+    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now) && pressure(now) <= PRESSURE_BOUND;
+  }
+
+  /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
+  private void settle(Scan scan) {
+    if (scan.closed) {
+      return;
+    }
+    Duration now = host.now();
+    double in = 0;
+    double possible = 0;
+    boolean out = false;
+    for (Part part : scan.parts) {
+      boolean partOut = !part.in && part.out();
+      out |= partOut;
+      in += part.in ? part.weight : 0;
+      possible += part.in || partOut ? part.weight : 0;
+    }
+    if (scan.secondStep) {
+      settleSecondStep(scan, now, out);
+      return;
+    }
+    boolean whole = in >= scan.grade.need - WEIGHT_SLACK;
+    boolean enough = in >= least(scan) - WEIGHT_SLACK;
+    boolean near = now.compareTo(scan.quoted.minus(ANSWER_MARGIN)) >= 0;
+    if (whole || enough && (!out || near)) {
+      answer(scan, whole);
+    } else if (!out || possible < least(scan) - WEIGHT_SLACK) {
+      giveUp(scan);
+    }
+  }
+
+  private void settleSecondStep(Scan scan, Duration now, boolean out) {
+    List<Part> second = scan.parts.subList(scan.firstParts, scan.parts.size());
+    if (second.isEmpty()) {
+      return;
+    }
+    double in = second.stream().filter(part -> part.in).mapToDouble(part -> part.weight).sum();
+    boolean all = second.stream().allMatch(part -> part.in);
+    double floor = scan.grade.partial() ? scan.grade.floor : 1;
+    boolean enough = in >= floor - WEIGHT_SLACK;
+    boolean near = now.compareTo(scan.quoted.minus(ANSWER_MARGIN)) >= 0;
+    if (all || enough && (!out || near)) {
+      answer(scan, all && scan.firstWhole);
+    } else if (!out) {
+      giveUp(scan);
+    }
+  }
+
+  private void answer(Scan scan, boolean whole) {
+    host.answer(scan.id, whole);
+    if (scan.grade.fetch > 0 && !scan.secondStep) {
+      scan.secondStep = true;
+      scan.firstWhole = whole;
+      scan.firstParts = scan.parts.size();
+      scan.parts.forEach(this::recallTrips);
+      return;
+    }
+    close(scan);
+  }
+
+  /** Closes a scan at once: sent back where to ask again does no harm, else scrapped. */
+  private void giveUp(Scan scan) {
+    boolean harmless = scan.grade.repeats == Grade.Repeats.REISSUABLE
+        || scan.parts.stream().allMatch(part -> part.mayHaveRunSince() == null);
+    if (harmless) {
+      host.nack(scan.id, comeBackMost);
+    } else {
+      host.scrap(scan.id);
+    }
+    close(scan);
+  }
+
+  private void close(Scan scan) {
+    scan.closed = true;
+    scans.remove(scan.id);
+    scansByNumber.remove(scan.number, scan);
+    for (Part part : scan.parts) {
+      recallTrips(part);
+      if (!part.out()) {
+        parts.remove(part.id);
+      }
+    }
+  }
+
+  private void recallTrips(Part part) {
+    for (int i = 0; recalls && i < part.trips.size(); i++) {
+      if (part.trips.get(i).outcome == null) {
+        host.recall(part.id, i);
+      }
+    }
+  }
+
+  private void quotedPassed(Scan scan) {
+    if (scan.closed) {
+      return;
+    }
+    Duration now = host.now();
+    for (Part part : scan.parts) {
+      part.trips.stream().filter(trip -> trip.outcome == null).forEach(trip -> pressed(trip, now));
+    }
+    if (scan.grade.lateShare == 0) {
+      giveUp(scan);
+    }
+  }
+
+  private void patienceEnds(Scan scan) {
+    settle(scan);
+    if (!scan.closed) {
+      giveUp(scan);
+    }
+  }
+
+  /** The client has left, or its time is over: nothing more is owed to the scan. */
+  public void clientLeft(ScanId id) {
+    Scan scan = scans.get(id);
+    if (scan != null) {
+      close(scan);
+    }
+  }
+
+  /** A streamed answer has started: its trip is the client's from now on. */
+  public void answerStarted(PartId part, int trip) {
+    // no decision hangs on it: the trip ends by its outcome like any other
+  }
+
+  private double pressure(Duration now) {
+    double settled = turnedAway.sum(now);
+    double pressed = settled;
+    for (Searcher searcher : searchers.values()) {
+      // what one bad searcher or zone does is not the load's doing and must not narrow every scan
+      if (searcher.benchedUntil == null) {
+        settled += searcher.settled.sum(now);
+        pressed += searcher.pressed.sum(now);
+      }
+    }
+    return settled == 0 ? 0 : pressed / settled;
+  }
+
+  private void lookRound() {
+    Duration now = host.now();
+    if (now.minus(coverageMoved).compareTo(COVERAGE_PACE) >= 0) {
+      coverageMoved = now;
+      double step = pressure(now) > PRESSURE_BOUND ? -COVERAGE_STEP : COVERAGE_STEP;
+      double moved = Math.max(0, Math.min(1, coverage + step));
+      if (moved < coverage && coverage == 1) {
+        log("coverage narrows, pressure " + Math.round(100 * pressure(now)) + "%");
+      }
+      coverage = moved;
+    }
+    for (Searcher searcher : searchers.values()) {
+      judge(searcher, now);
+      if (searcher.benchedUntil != null && searcher.benchedUntil.compareTo(now) <= 0 && !searcher.probing) {
+        if (probes && searcher.listing.standing() == Listing.Standing.READY) {
+          searcher.probing = true;
+          host.probe(searcher.id);
+        } else {
+          tryAgain(searcher);
+        }
+      }
+    }
+    wakeAfter(LOOK_ROUND, this::lookRound);
+  }
+
+  /** A probe has come back. */
+  public void probed(SearcherId id, Outcome outcome, Duration taken, float[] load) {
+    Searcher searcher = searchers.get(id);
+    if (searcher == null || !searcher.probing) {
+      return;
+    }
+    searcher.probing = false;
+    if (searcher.benchedUntil != null && outcome == Outcome.SUCCEEDED) {
+      tryAgain(searcher);
+    } else if (searcher.benchedUntil != null) {
+      bench(searcher, "no answer to a probe");
+    }
+  }
+
+  /** Re-entry: one part at a time, until a few have been answered. */
+  private void tryAgain(Searcher searcher) {
+    searcher.benchedUntil = null;
+    searcher.unheardSince = null;
+    searcher.trialsLeft = TRIALS;
+  }
+
+  /** Judges a searcher by this mixer's own evidence: silence, errors, or slowness against its peers. */
+  private void judge(Searcher searcher, Duration now) {
+    if (searcher.benchedUntil != null || searcher.listing.standing() != Listing.Standing.READY) {
+      return;
+    }
+    double errors = searcher.errors.sum(now);
+    Duration silence = max(SILENCE, Duration.ofNanos((long) (SILENCE_WAITS * usualWait(now))));
+    if (searcher.unheardSince != null && now.minus(searcher.unheardSince).compareTo(silence) > 0) {
+      bench(searcher, "silent");
+    } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * (errors + searcher.answers.sum(now))) {
+      bench(searcher, "errors");
+    } else if (searcher.answers.sum(now) >= ANSWERS_LEAST && !cold(searcher, now)
+        && pace(searcher, now).toNanos() > SLOW_TIMES * middlePace(now)) {
+      bench(searcher, "slow");
+    }
+  }
+
+  private double usualWait(Duration now) {
+    double waits = 0;
+    double answers = 0;
+    for (Searcher searcher : searchers.values()) {
+      waits += searcher.waits.sum(now);
+      answers += searcher.answers.sum(now);
+    }
+    return answers == 0 ? 0 : waits / answers;
+  }
+
+  private double middlePace(Duration now) {
+    double[] paces = searchers.values().stream()
+        .filter(other -> other.answers.sum(now) >= ANSWERS_LEAST)
+        .mapToDouble(other -> pace(other, now).toNanos()).sorted().toArray();
+    return paces[paces.length / 2];
+  }
+
+  private void bench(Searcher searcher, String why) {
+    Duration now = host.now();
+    boolean again = searcher.benchSpan != null && (searcher.benchedUntil != null || searcher.trialsLeft > 0);
+    searcher.benchSpan = again ? min(BENCH_MOST, searcher.benchSpan.multipliedBy(2)) : BENCH_LEAST;
+    searcher.benchedUntil = now.plus(searcher.benchSpan);
+    searcher.trialsLeft = 0;
+    log("searcher in cell " + searcher.listing.cell() + " benched: " + why);
+    rescue(searcher, now);
+  }
+
+  /** Parts out at a searcher that is not to be counted on get a copy elsewhere, within the ration. */
+  private void rescue(Searcher searcher, Duration now) {
+    for (Trip trip : List.copyOf(searcher.out)) {
+      if (!trip.part.scan.closed && now.compareTo(trip.part.scan.quoted) < 0) {
+        sendAgain(trip.part, now);
+      }
+    }
+  }
+
+  /** The roster has been told: all of it, or what changed. */
+  public void rosterTold(List<Listing> lines, boolean all) {
+    Duration now = host.now();
+    Map<SearcherId, Listing> told = new TreeMap<>();
+    lines.forEach(line -> told.put(line.searcher(), line));
+    for (Searcher searcher : searchers.values()) {
+      if (all && !told.containsKey(searcher.id)) {
+        Listing old = searcher.listing;
+        told.put(searcher.id, new Listing(searcher.id, old.zone(), old.machine(), old.cell(),
+            Listing.Standing.GONE, old.size(), old.startedAt()));
+      }
+    }
+    List<Searcher> lost = new ArrayList<>();
+    for (Listing line : told.values()) {
+      Searcher searcher = searchers.computeIfAbsent(line.searcher(),
+          id -> new Searcher(id, HEALTH_WINDOW, PRESSURE_WINDOW, tipAfter, BUCKETS));
+      boolean restarted = line.startedAt() != null && !line.startedAt().equals(searcher.startedAt)
+          && searcher.listing != null;
+      searcher.listing = line;
+      searcher.startedAt = line.startedAt() != null ? line.startedAt() : searcher.startedAt;
+      if (restarted) {
+        searcher.benchedUntil = null;
+        searcher.unheardSince = null;
+      }
+      if (restarted || line.standing() == Listing.Standing.GONE) {
+        lost.add(searcher);
+      }
+    }
+    cells.clear();
+    for (Searcher searcher : searchers.values()) {
+      if (searcher.listing.standing() == Listing.Standing.READY) {
+        cells.computeIfAbsent(searcher.listing.cell(), cell -> new ArrayList<>()).add(searcher);
+      }
+    }
+    lost.forEach(searcher -> rescue(searcher, now));
+  }
+
+  /** A call for the roster failed, or the subscription broke: ask again soon, not all mixers at one moment. */
+  public void rosterFailed() {
+    wakeAfter(ROSTER_RETRY.plusNanos(chance.nextLong(ROSTER_RETRY.toNanos())), () -> host.watchRoster(true));
+  }
+
+  public void peerTold(int peer, byte[] bytes) {
+    // mixers need no word of each other: each decides by its own evidence
+  }
+
+  public void woken(WakeId id) {
+    Runnable wake = wakes.remove(id);
+    if (wake != null) {
+      wake.run();
+    }
+  }
+
+  private void wakeAt(Duration time, Runnable wake) {
+    wakeAfter(max(Duration.ZERO, time.minus(host.now())), wake);
+  }
+
+  private void wakeAfter(Duration span, Runnable wake) {
+    WakeId id = new WakeId(wakeCount++);
+    wakes.put(id, wake);
+    host.wakeAfter(span, id);
+  }
+
+  private void log(String line) {
+    if (logged++ < LOG_LINES) {
+      host.log(line);
+    }
+  }
+
+  private static Duration millis(double ms) {
+    return Duration.ofNanos(Math.round(ms * 1e6));
+  }
+
+  private static Duration min(Duration a, Duration b) {
+    return a.compareTo(b) < 0 ? a : b;
+  }
+
+  private static Duration max(Duration a, Duration b) {
+    return a.compareTo(b) > 0 ? a : b;
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/decide/Part.java
@@ -0,0 +1,42 @@
+package gingerring.decide;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A part of a scan: one shard's share of it. */
+public final class Part {
+  public final PartId id;
+  public final int shard;
+  public final double weight;
+  public final long key;
+  public Scan scan;
+  public final List<Trip> trips = new ArrayList<>();
+  public boolean in;
+  /** Chosen by the selection: it is to be asked, or has been. */
+  public boolean asked;
+  /** The end of the host's patience with this part was told: nothing may be sent for it. */
+  public boolean over;
+  public Searcher planned;
+
+  public Part(PartId id, int shard, double weight, long key) {
+    this.id = id;
+    this.shard = shard;
+    this.weight = weight;
+    this.key = key;
+  }
+
+  public boolean out() {
+    return trips.stream().anyMatch(trip -> trip.outcome == null);
+  }
+
+  /** When the first trip that may have run was sent, or null where none may have. */
+  public Duration mayHaveRunSince() {
+    for (Trip trip : trips) {
+      if (trip.outcome == null || !trip.outcome.neverRan) {
+        return trip.sent;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/decide/Terms.java
@@ -0,0 +1,55 @@
+package gingerring.decide;
+
+import java.util.Map;
+
+/** Reads the values handed over at start; what is needed and missing or unreadable is named. */
+public record Terms(Map<String, String> map) {
+  public String text(String key) {
+    String value = map.get(key);
+    if (value == null) {
+      throw new IllegalArgumentException("setting " + key + " is missing");
+    }
+    return value;
+  }
+
+  public double number(String key) {
+    return parse(key, text(key));
+  }
+
+  public double number(String key, double otherwise) {
+    return map.containsKey(key) ? number(key) : otherwise;
+  }
+
+  public int count(String key) {
+    return (int) number(key);
+  }
+
+  public boolean flag(String key) {
+    return Boolean.parseBoolean(map.get(key));
+  }
+
+  /** The value at a place of a list, or {@code otherwise} where there is no such list. */
+  public double item(String key, int place, double otherwise) {
+    if (!map.containsKey(key)) {
+      return otherwise;
+    }
+    String[] items = text(key).split(",");
+    if (place >= items.length) {
+      throw new IllegalArgumentException("setting " + key + " has no item " + place);
+    }
+    return parse(key, items[place]);
+  }
+
+  private static double parse(String key, String value) {
+    double number;
+    try {
+      number = Double.parseDouble(value);
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("setting " + key + " is no number: " + value);
+    }
+    if (!Double.isFinite(number)) {
+      throw new IllegalArgumentException("setting " + key + " is no number: " + value);
+    }
+    return number;
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/decide/TimeRing.java
@@ -0,0 +1,47 @@
+package gingerring.decide;
+
+import java.time.Duration;
+
+/** Sums over the recent past, in fixed buckets of time that are used again in a ring. */
+public final class TimeRing {
+  private final long width;
+  private final double[] sums;
+  private long newest = Long.MIN_VALUE;
+
+  public TimeRing(Duration span, int buckets) {
+    width = Math.max(1, span.toNanos() / buckets);
+    sums = new double[buckets + 1];
+  }
+
+  public void add(Duration now, double amount) {
+    turn(now);
+    sums[(int) Math.floorMod(newest, (long) sums.length)] += amount;
+  }
+
+  /** The sum over at least the ring's span: the bucket that the span begins in counts whole. */
+  public double sum(Duration now) {
+    turn(now);
+    double total = 0;
+    for (double sum : sums) {
+      total += sum;
+    }
+    return total;
+  }
+
+  /** The sum over at most the ring's span: the bucket that the span begins in is left out. */
+  public double sumWithin(Duration now) {
+    turn(now);
+    return sum(now) - sums[(int) Math.floorMod(newest + 1, (long) sums.length)];
+  }
+
+  private void turn(Duration now) {
+    long bucket = Math.floorDiv(now.toNanos(), width);
+    if (newest == Long.MIN_VALUE) {
+      newest = bucket;
+    }
+    for (long i = Math.max(newest + 1, bucket - sums.length + 1); i <= bucket; i++) {
+      sums[(int) Math.floorMod(i, (long) sums.length)] = 0;
+    }
+    newest = Math.max(newest, bucket);
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/drill/Records.java
@@ -0,0 +1,192 @@
+package gingerring.drill;
+
+import gingerring.decide.Listing;
+import gingerring.decide.Outcome;
+import gingerring.decide.SearcherId;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads the records of one batch, field by field, never past the end of the record in hand. */
+final class Records {
+  static final int CREATE = 0;
+  static final int DISCOVERY = 1;
+  static final int INGRESS = 2;
+  static final int STREAMING = 3;
+  static final int FINISHED = 4;
+  static final int VANISHED = 5;
+  static final int TIMER = 6;
+  static final int HEALTH = 7;
+  static final int INBOX = 8;
+  static final int POWER_OFF = 9;
+  static final int ROSTER = 10;
+  static final int AT = 11;
+  static final int HEAD = 5;
+  /** The largest time that still counts exactly in nanoseconds. */
+  static final double MOST_MS = 9e12;
+  private static final int ENTRY = 23;
+
+  /** A numbered list of searchers; times of start are on the batches' clock, 0 for long ago. */
+  record Page(List<Line> lines) {}
+
+  record Line(SearcherId searcher, int zone, int machine, int cell, Listing.Standing standing, float size,
+      double startedMs) {}
+
+  private final ByteBuffer bytes;
+  private final String batch;
+  private int end;
+  private int code;
+  private int count;
+
+  Records(byte[] body, String batch) {
+    bytes = ByteBuffer.wrap(body).order(ByteOrder.LITTLE_ENDIAN);
+    this.batch = batch;
+  }
+
+  static boolean known(int code) {
+    return code >= CREATE && code <= AT;
+  }
+
+  /** Moves to the next record, over whatever the last one still held. */
+  void next() throws Drill.Malformed {
+    bytes.position(end);
+    count++;
+    code = -1;
+    if (bytes.remaining() < HEAD) {
+      throw new Drill.Malformed(where() + ": the batch ends before its header");
+    }
+    code = Byte.toUnsignedInt(bytes.get());
+    long length = Integer.toUnsignedLong(bytes.getInt());
+    if (length > bytes.remaining()) {
+      throw new Drill.Malformed(where() + ": " + length + " bytes claimed, " + bytes.remaining() + " left");
+    }
+    end = bytes.position() + (int) length;
+  }
+
+  int code() {
+    return code;
+  }
+
+  int left() {
+    return bytes.capacity() - end;
+  }
+
+  String where() {
+    return batch + ", record " + count + (code < 0 ? "" : " (code " + code + ")");
+  }
+
+  private void need(int length) throws Drill.Malformed {
+    if (end - bytes.position() < length) {
+      throw new Drill.Malformed(where() + ": its fields end early");
+    }
+  }
+
+  int u8() throws Drill.Malformed {
+    need(1);
+    return Byte.toUnsignedInt(bytes.get());
+  }
+
+  int u16() throws Drill.Malformed {
+    need(2);
+    return Short.toUnsignedInt(bytes.getShort());
+  }
+
+  long u32() throws Drill.Malformed {
+    need(4);
+    return Integer.toUnsignedLong(bytes.getInt());
+  }
+
+  long u64() throws Drill.Malformed {
+    need(8);
+    return bytes.getLong();
+  }
+
+  float f32() throws Drill.Malformed {
+    need(4);
+    float value = bytes.getFloat();
+    if (!Float.isFinite(value)) {
+      throw new Drill.Malformed(where() + ": a number reads " + value);
+    }
+    return value;
+  }
+
+  double ms() throws Drill.Malformed {
+    need(8);
+    double value = bytes.getDouble();
+    if (!Double.isFinite(value) || Math.abs(value) > MOST_MS) {
+      throw new Drill.Malformed(where() + ": a time reads " + value);
+    }
+    return value;
+  }
+
+  SearcherId searcher() throws Drill.Malformed {
+    need(6);
+    long address = 0;
+    for (int i = 0; i < 4; i++) {
+      address = address << 8 | u8();
+    }
+    return new SearcherId(address << 16 | u16());
+  }
+
+  Outcome outcome() throws Drill.Malformed {
+    int status = u16();
+    return switch (status) {
+      case 10 -> Outcome.SUCCEEDED;
+      case 20 -> Outcome.ERROR;
+      case 30 -> Outcome.FULL;
+      case 40 -> Outcome.TIMED_OUT;
+      case 50 -> Outcome.UNREACHABLE;
+      case 60 -> Outcome.BROKEN;
+      case 70 -> Outcome.CALLED_OFF;
+      case 80 -> Outcome.NOT_SENT;
+      default -> throw new Drill.Malformed(where() + ": no outcome has the code " + status);
+    };
+  }
+
+  float[] load() throws Drill.Malformed {
+    int n = u8();
+    need(4 * n);
+    float[] load = new float[n];
+    for (int i = 0; i < n; i++) {
+      load[i] = f32();
+    }
+    return load;
+  }
+
+  byte[] rest(long length) throws Drill.Malformed {
+    if (length > end - bytes.position()) {
+      throw new Drill.Malformed(where() + ": " + length + " bytes claimed, " + (end - bytes.position()) + " left");
+    }
+    byte[] rest = new byte[(int) length];
+    bytes.get(rest);
+    return rest;
+  }
+
+  String text() throws Drill.Malformed {
+    return new String(rest(u32()), StandardCharsets.UTF_8);
+  }
+
+  Page page() throws Drill.Malformed {
+    long n = u32();
+    if (n > (end - bytes.position()) / ENTRY) {
+      throw new Drill.Malformed(where() + ": " + n + " lines do not fit in " + (end - bytes.position()) + " bytes");
+    }
+    List<Line> lines = new ArrayList<>();
+    for (long i = 0; i < n; i++) {
+      lines.add(new Line(searcher(), u8(), u8(), u16(), standing(), f32(), ms()));
+    }
+    return new Page(lines);
+  }
+
+  private Listing.Standing standing() throws Drill.Malformed {
+    int mode = u8();
+    return switch (mode) {
+      case 0 -> Listing.Standing.GONE;
+      case 1 -> Listing.Standing.READY;
+      case 2 -> Listing.Standing.DRAINING;
+      default -> throw new Drill.Malformed(where() + ": no searcher stands at " + mode);
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/drill/Replies.java
@@ -0,0 +1,119 @@
+package gingerring.drill;
+
+import gingerring.decide.SearcherId;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Builds the reply to one batch. */
+final class Replies {
+  private ByteBuffer bytes = ByteBuffer.allocate(1 << 12).order(ByteOrder.LITTLE_ENDIAN);
+  private int number;
+  private int count;
+  private int instance;
+  private int named;
+
+  void begin(int batch) {
+    bytes.clear();
+    number = batch;
+    count = 0;
+    named = -1;
+  }
+
+  /** Whose actions follow; written only once there is one. */
+  void instance(int who) {
+    instance = who;
+  }
+
+  private ByteBuffer record(int code, int length) {
+    if (named != instance) {
+      named = instance;
+      head(11, 2).putShort((short) instance);
+    }
+    return head(code, length);
+  }
+
+  private ByteBuffer head(int code, int length) {
+    if (bytes.remaining() < length + 5) {
+      bytes = ByteBuffer.wrap(Arrays.copyOf(bytes.array(), 2 * bytes.capacity() + length))
+          .order(ByteOrder.LITTLE_ENDIAN).position(bytes.position());
+    }
+    count++;
+    return bytes.put((byte) code).putInt(length);
+  }
+
+  private static ByteBuffer put(ByteBuffer to, SearcherId searcher) {
+    for (int shift = 40; shift >= 16; shift -= 8) {
+      to.put((byte) (searcher.address() >> shift));
+    }
+    return to.putShort((short) searcher.address());
+  }
+
+  void keepInformed(boolean on) {
+    record(0, 1).put((byte) (on ? 1 : 0));
+  }
+
+  void route(long handle, SearcherId searcher, double ms) {
+    put(record(1, 18).putInt((int) handle), searcher).putDouble(ms);
+  }
+
+  void share(int peer, byte[] content) {
+    record(2, 6 + content.length).putInt(peer).putShort((short) content.length).put(content);
+  }
+
+  void probe(SearcherId searcher) {
+    put(record(3, 6), searcher);
+  }
+
+  void closeIdle(SearcherId searcher) {
+    put(record(4, 6), searcher);
+  }
+
+  void conclude(long handle, boolean whole) {
+    record(5, 5).putInt((int) handle).put((byte) (whole ? 1 : 0));
+  }
+
+  void emit(String line) {
+    text(6, line);
+  }
+
+  void recall(long handle, int trip) {
+    record(7, 6).putInt((int) handle).putShort((short) trip);
+  }
+
+  void resolve() {
+    record(8, 0);
+  }
+
+  void refuse(long handle, double ms) {
+    record(9, 12).putInt((int) handle).putDouble(ms);
+  }
+
+  void defer(double ms, int tag) {
+    record(10, 12).putDouble(ms).putInt(tag);
+  }
+
+  void internalError(String line) {
+    text(12, line);
+  }
+
+  void respondError(long handle) {
+    record(13, 4).putInt((int) handle);
+  }
+
+  private void text(int code, String line) {
+    byte[] content = line.getBytes(StandardCharsets.UTF_8);
+    int length = Math.min(content.length, 0xffff);
+    record(code, 2 + length).putShort((short) length).put(content, 0, length);
+  }
+
+  void writeTo(OutputStream out) throws IOException {
+    byte[] head = ByteBuffer.allocate(12).order(ByteOrder.LITTLE_ENDIAN)
+        .putInt(number).putInt(count).putInt(bytes.position()).array();
+    out.write(head);
+    out.write(bytes.array(), 0, bytes.position());
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/drill/Seat.java
@@ -0,0 +1,247 @@
+package gingerring.drill;
+
+import gingerring.decide.Host;
+import gingerring.decide.Listing;
+import gingerring.decide.Mixer;
+import gingerring.decide.Part;
+import gingerring.decide.PartId;
+import gingerring.decide.ScanId;
+import gingerring.decide.SearcherId;
+import gingerring.decide.WakeId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.random.RandomGeneratorFactory;
+
+/** The place of one instance: turns its events into calls of its mixer, and the mixer's calls into actions. */
+final class Seat implements Host {
+  private static final int COST_KNOWN = 1;
+  private static final int REPEAT = 2;
+
+  private final int who;
+  private final Replies replies;
+  private Mixer mixer;
+  private double startMs;
+  private double clockMs;
+  /** A scan whose parts are still being read, and the parts read since the last other event. */
+  private Consumer<Mixer> arrival;
+  private long arriving;
+  private List<Part> parts = new ArrayList<>();
+
+  Seat(int who, Replies replies) {
+    this.who = who;
+    this.replies = replies;
+  }
+
+  void event(Records records, double clock, Map<Integer, Records.Page> pages) throws Drill.Malformed {
+    clockMs = clock;
+    if (records.code() == Records.INGRESS) {
+      ingress(records);
+      return;
+    }
+    finish();
+    switch (records.code()) {
+      case Records.CREATE -> create(records.u64(), records.text());
+      case Records.POWER_OFF -> mixer = null;
+      case Records.DISCOVERY -> discovery(records, pages);
+      case Records.STREAMING, Records.FINISHED, Records.VANISHED, Records.TIMER, Records.HEALTH, Records.INBOX ->
+        tell(records);
+      default -> { }
+    }
+  }
+
+  private void create(long seed, String info) {
+    startMs = clockMs;
+    Map<String, String> map = new HashMap<>();
+    for (String line : info.split("\n")) {
+      int equals = line.indexOf('=');
+      if (equals > 0) {
+        map.put(line.substring(0, equals), line.substring(equals + 1).strip());
+      }
+    }
+    guard(() -> mixer = new Mixer(map, RandomGeneratorFactory.of("L64X128MixRandom").create(seed), this));
+  }
+
+  private void tell(Records records) throws Drill.Malformed {
+    switch (records.code()) {
+      case Records.STREAMING -> {
+        PartId part = new PartId(records.u32());
+        int trip = records.u16();
+        decide(mixer -> mixer.answerStarted(part, trip));
+      }
+      case Records.FINISHED -> {
+        PartId part = new PartId(records.u32());
+        var outcome = records.outcome();
+        records.ms();
+        int trip = records.u16();
+        records.searcher();
+        boolean last = records.u8() != 0;
+        float[] load = records.load();
+        decide(mixer -> mixer.tripEnded(part, trip, outcome, last, load));
+      }
+      case Records.VANISHED -> {
+        ScanId scan = new ScanId(records.u32());
+        decide(mixer -> mixer.clientLeft(scan));
+      }
+      case Records.TIMER -> {
+        WakeId wake = new WakeId((int) records.u32());
+        decide(mixer -> mixer.woken(wake));
+      }
+      case Records.HEALTH -> {
+        var outcome = records.outcome();
+        Duration taken = span(records.ms());
+        SearcherId searcher = records.searcher();
+        float[] load = records.load();
+        decide(mixer -> mixer.probed(searcher, outcome, taken, load));
+      }
+      default -> {
+        int peer = records.u16();
+        byte[] bytes = records.rest(records.u16());
+        decide(mixer -> mixer.peerTold(peer, bytes));
+      }
+    }
+  }
+
+  private void discovery(Records records, Map<Integer, Records.Page> pages) throws Drill.Malformed {
+    int mode = records.u8();
+    records.u64();
+    int number = records.u8();
+    if (mode == 3) {
+      decide(mixer -> mixer.rosterFailed());
+      return;
+    }
+    Records.Page page = pages.get(number);
+    if (mode > 3 || page == null) {
+      throw new Drill.Malformed(records.where() + ": no list of kind " + mode + " and page " + number);
+    }
+    List<Listing> lines = new ArrayList<>();
+    for (Records.Line line : page.lines()) {
+      lines.add(new Listing(line.searcher(), line.zone(), line.machine(), line.cell(), line.standing(), line.size(),
+          line.startedMs() == 0 ? null : span(line.startedMs() - startMs)));
+    }
+    decide(mixer -> mixer.rosterTold(lines, mode != 0));
+  }
+
+  private void ingress(Records records) throws Drill.Malformed {
+    long handle = records.u32();
+    long number = Float.floatToIntBits(records.f32());
+    int opts = records.u16();
+    int band = records.u8();
+    double costMs = records.ms();
+    long entity = records.u64();
+    int tenant = (int) records.u32();
+    float amount = records.f32();
+    double endMs = records.ms();
+    float range = records.f32();
+    Duration work = (opts & COST_KNOWN) != 0 ? span(costMs) : Duration.ZERO;
+    if (range < 0) {
+      finish();
+      List<Part> own = parts;
+      arriving = number;
+      Duration end = span(endMs - startMs);
+      arrival = mixer -> mixer.scanArrived(new ScanId(handle), number, band, tenant, entity, (opts & REPEAT) != 0,
+          work, end, own);
+      return;
+    }
+    if (arrival == null || number != arriving) {
+      finish();
+      List<Part> own = parts;
+      arriving = number;
+      arrival = mixer -> mixer.secondStepArrived(number, own);
+    }
+    parts.add(new Part(new PartId(handle), (int) range, amount, entity));
+  }
+
+  /** Hands over a scan once all its parts have been read. */
+  void finish() {
+    if (arrival != null) {
+      Consumer<Mixer> whole = arrival;
+      arrival = null;
+      parts = new ArrayList<>();
+      decide(whole);
+    }
+  }
+
+  /** Calls the mixer, if this instance runs. */
+  private void decide(Consumer<Mixer> call) {
+    if (mixer != null) {
+      guard(() -> call.accept(mixer));
+    }
+  }
+
+  /** Tells a failure of the decision code as such; the instance is then dead. */
+  private void guard(Runnable call) {
+    replies.instance(who);
+    try {
+      call.run();
+    } catch (RuntimeException e) {
+      StackTraceElement[] trace = e.getStackTrace();
+      replies.internalError(e instanceof IllegalArgumentException || trace.length == 0
+          ? String.valueOf(e.getMessage()) : e + " at " + trace[0]);
+      mixer = null;
+    }
+  }
+
+  private static Duration span(double ms) {
+    return Duration.ofNanos(Math.round(ms * 1e6));
+  }
+
+  private static double ms(Duration span) {
+    return span.toNanos() / 1e6;
+  }
+
+  @Override public Duration now() {
+    return span(clockMs - startMs);
+  }
+
+  @Override public void send(PartId part, SearcherId searcher, Duration timeOut) {
+    replies.route(part.number(), searcher, ms(timeOut));
+  }
+
+  @Override public void recall(PartId part, int trip) {
+    replies.recall(part.number(), trip);
+  }
+
+  @Override public void answer(ScanId scan, boolean whole) {
+    replies.conclude(scan.number(), whole);
+  }
+
+  @Override public void nack(ScanId scan, Duration comeBack) {
+    replies.refuse(scan.number(), ms(comeBack));
+  }
+
+  @Override public void scrap(ScanId scan) {
+    replies.respondError(scan.number());
+  }
+
+  @Override public void probe(SearcherId searcher) {
+    replies.probe(searcher);
+  }
+
+  @Override public void closeIdle(SearcherId searcher) {
+    replies.closeIdle(searcher);
+  }
+
+  @Override public void watchRoster(boolean on) {
+    replies.keepInformed(on);
+  }
+
+  @Override public void fetchRoster() {
+    replies.resolve();
+  }
+
+  @Override public void tell(int peer, byte[] bytes) {
+    replies.share(peer, bytes);
+  }
+
+  @Override public void wakeAfter(Duration span, WakeId wake) {
+    replies.defer(ms(span), wake.number());
+  }
+
+  @Override public void log(String line) {
+    replies.emit(line);
+  }
+}
