Silence counts only time with own parts out since the searcher's last word

Cause: the silence clock ran from the oldest part out, so any busy searcher that had just answered was at once silent again, and it ran on while nothing was out.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -309,6 +309,7 @@
   private static void noteBusy(Searcher searcher, Duration now) {
     if (searcher.busySince != null) {
       searcher.busy.add(now, now.minus(searcher.busySince).toNanos());
+      searcher.unheard = searcher.unheard.plus(now.minus(searcher.busySince));
     }
     searcher.busySince = searcher.out.isEmpty() ? null : now;
   }
@@ -371,9 +372,6 @@
     searcher.out.add(trip);
     searcher.busySince = now;
     searcher.sends.add(now, 1);
-    if (searcher.unheardSince == null) {
-      searcher.unheardSince = now;
-    }
     host.send(part.id, searcher.id, part.scan.end.minus(now));
   }
 
@@ -418,34 +416,27 @@
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
         searcher.waits.add(now, now.minus(trip.sent).toNanos());
-        heard(searcher);
+        searcher.unheard = Duration.ZERO;
         searcher.settled.add(now, 1);
         if (searcher.trialsLeft > 0) {
           searcher.trialsLeft--;
         }
       }
       case FULL -> {
-        heard(searcher);
+        searcher.unheard = Duration.ZERO;
         pressed(trip, now);
       }
       case TIMED_OUT -> pressed(trip, now);
       case ERROR, BROKEN, UNREACHABLE -> {
         searcher.errors.add(now, 1);
         searcher.settled.add(now, 1);
-        heard(searcher);
+        searcher.unheard = Duration.ZERO;
         judge(searcher, now);
       }
       default -> { }
     }
   }
 
-  private static void heard(Searcher searcher) {
-    searcher.unheardSince = null;
-    if (!searcher.out.isEmpty()) {
-      searcher.unheardSince = searcher.out.iterator().next().sent;
-    }
-  }
-
   private static void pressed(Trip trip, Duration now) {
     if (!trip.judgedLate) {
       trip.judgedLate = true;
@@ -661,7 +652,7 @@
   /** Re-entry: one part at a time, until a few have been answered. */
   private void tryAgain(Searcher searcher) {
     searcher.benchedUntil = null;
-    searcher.unheardSince = null;
+    searcher.unheard = Duration.ZERO;
     searcher.trialsLeft = TRIALS;
   }
 
@@ -672,7 +663,9 @@
     }
     double errors = searcher.errors.sum(now);
     Duration silence = max(SILENCE, Duration.ofNanos((long) (SILENCE_WAITS * usualWait(now))));
-    if (searcher.unheardSince != null && now.minus(searcher.unheardSince).compareTo(silence) > 0) {
+    noteBusy(searcher, now);
+    // only time with own parts out counts, and only from the last word on: a busy searcher still answers now and then
+    if (searcher.unheard.compareTo(silence) > 0) {
       bench(searcher, "silent");
     } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * (errors + searcher.answers.sum(now))) {
       bench(searcher, "errors");
@@ -740,7 +733,7 @@
       searcher.startedAt = line.startedAt() != null ? line.startedAt() : searcher.startedAt;
       if (restarted) {
         searcher.benchedUntil = null;
-        searcher.unheardSince = null;
+        searcher.unheard = Duration.ZERO;
       }
       if (restarted || line.standing() == Listing.Standing.GONE) {
         lost.add(searcher);
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -15,8 +15,8 @@
   public Trip.Call call;
   public int plannedParts;
   public Duration busySince;
-  /** Since when nothing has come back though something was sent; null where all is heard of. */
-  public Duration unheardSince;
+  /** Time with own parts out since the last word from it. */
+  public Duration unheard = Duration.ZERO;
   public final TimeRing busy;
   public final TimeRing answers;
   public final TimeRing waits;
