Ask benched searchers where no trusted holder can take a part

Cause: with two holders a shard, two wrong or right benchings leave a shard with no holder, and every scan that needs it was nacked. A doubtful holder beats none, and its answers are the evidence for its return. Holds also against whole-fleet troubles that look like many bad searchers. May hurt when a bad holder is all there is: the other parts' work is then spent for nothing.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -254,23 +254,33 @@
     return holders;
   }
 
-  /** Finds the replica for a part's next trip: fewest own parts out, ties from its home on. */
+  /**
+   * Finds the replica for a part's next trip: fewest own parts out, ties from its home on. Benched searchers come
+   * in only where no trusted one can take the part: a shard is better asked of a doubtful holder than of none.
+   */
   private boolean plan(Part part, Duration now) {
+    if (!plan(part, now, false)) {
+      plan(part, now, true);
+    }
+    if (part.planned != null) {
+      part.planned.plannedParts++;
+    }
+    return part.planned != null;
+  }
+
+  private boolean plan(Part part, Duration now, boolean benched) {
     List<Searcher> holders = holders(part);
     int home = home(part, Math.max(1, holders.size()));
     Duration left = (now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end).minus(now);
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
       boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
-      if (!tried && usable(searcher) && coldRoom(searcher, now)
+      if (!tried && (benched || usable(searcher)) && coldRoom(searcher, now)
           && stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos()
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
       }
     }
-    if (part.planned != null) {
-      part.planned.plannedParts++;
-    }
     return part.planned != null;
   }
 
