--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -39,6 +39,7 @@
   /** So many times the pace of the middle peer is slow. */
   private static final double SLOW_TIMES = 3;
   private static final double ANSWERS_LEAST = 3;
+  private static final double ANSWERS_LENT = 3;
   private static final Duration BENCH_LEAST = Duration.ofSeconds(2);
   private static final Duration BENCH_MOST = Duration.ofSeconds(8);
   private static final int TRIALS = 3;
@@ -85,6 +86,8 @@
   private final TimeRing firsts = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   private final TimeRing extras = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   private final TimeRing turnedAway = new TimeRing(PRESSURE_WINDOW, BUCKETS);
+  private Duration fleetPaceAt;
+  private double fleetPace;
   private double coverage = 1;
   private Duration coverageMoved = Duration.ZERO;
 
@@ -310,10 +313,29 @@
     return pace(searcher, now).multipliedBy(searcher.out.size() + searcher.plannedParts + 1);
   }
 
-  /** Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. */
+  /**
+   * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. The
+   * fleet's pace counts as a few answers more, so that one pause at a quiet mixer does not make a searcher slow.
+   */
   private Duration pace(Searcher searcher, Duration now) {
     noteBusy(searcher, now);
-    return Duration.ofNanos((long) (searcher.busy.sum(now) / Math.max(1, searcher.answers.sum(now))));
+    double usual = fleetPace(now);
+    return Duration.ofNanos((long) ((searcher.busy.sum(now) + ANSWERS_LENT * usual)
+        / (searcher.answers.sum(now) + ANSWERS_LENT)));
+  }
+
+  private double fleetPace(Duration now) {
+    if (!now.equals(fleetPaceAt)) {
+      double busy = 0;
+      double answers = 0;
+      for (Searcher searcher : searchers.values()) {
+        busy += searcher.busy.sum(now);
+        answers += searcher.answers.sum(now);
+      }
+      fleetPaceAt = now;
+      fleetPace = answers == 0 ? 0 : busy / answers;
+    }
+    return fleetPace;
   }
 
   private static void noteBusy(Searcher searcher, Duration now) {
