Let a part's expected stay take 1.2 of the time left (from 0.8)

The estimate runs high for mixers that share a line with others; a looser bound hides that where quoted times are short and costs where they are long. Conclusion: the estimate is to be mended, the bound is not the place.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -26,7 +26,7 @@
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take: stays scatter about what is expected. */
-  private static final double STAY_SHARE = 0.8;
+  private static final double STAY_SHARE = 1.2;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
