--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -26,7 +26,7 @@
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take: stays scatter about what is expected. */
-  private static final double STAY_SHARE = 1.2;
+  private static final double STAY_SHARE = 0.8;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
@@ -40,6 +40,7 @@
   private static final double SLOW_TIMES = 3;
   private static final double ANSWERS_LEAST = 3;
   private static final double ANSWERS_LENT = 3;
+  private static final double OWN_SHARE = 0.5;
   private static final Duration BENCH_LEAST = Duration.ofSeconds(2);
   private static final Duration BENCH_MOST = Duration.ofSeconds(8);
   private static final int TRIALS = 3;
@@ -308,9 +309,15 @@
     return searcher.callsOut + (searcher.plannedParts - joining + callParts - 1) / callParts;
   }
 
-  /** How long a part sent now would stay, by the pace at which a searcher has answered this mixer of late. */
+  /**
+   * How long a part sent now would stay: what parts stayed there of late, and for each own part out beyond the
+   * usual number a share of the pace, since other mixers' parts stand in the same line and do not grow with ours.
+   */
   private Duration stay(Searcher searcher, Duration now) {
-    return pace(searcher, now).multipliedBy(searcher.out.size() + searcher.plannedParts + 1);
+    Duration pace = pace(searcher, now);
+    double out = searcher.out.size() + searcher.plannedParts + 1;
+    double usual = Math.max(1, searcher.held.sum(now) / Math.max(1, searcher.busy.sum(now)));
+    return Duration.ofNanos((long) (pace.toNanos() * (usual + OWN_SHARE * (out - usual))));
   }
 
   /**
@@ -340,7 +347,9 @@
 
   private static void noteBusy(Searcher searcher, Duration now) {
     if (searcher.busySince != null) {
-      searcher.busy.add(now, now.minus(searcher.busySince).toNanos());
+      long span = now.minus(searcher.busySince).toNanos();
+      searcher.busy.add(now, span);
+      searcher.held.add(now, (double) span * searcher.out.size());
       searcher.unheard = searcher.unheard.plus(now.minus(searcher.busySince));
     }
     searcher.busySince = searcher.out.isEmpty() ? null : now;
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -17,7 +17,9 @@
   public Duration busySince;
   /** Time with own parts out since the last word from it. */
   public Duration unheard = Duration.ZERO;
+  /** Time with own parts out, and the same times their number. */
   public final TimeRing busy;
+  public final TimeRing held;
   public final TimeRing answers;
   public final TimeRing waits;
   public final TimeRing errors;
@@ -34,6 +36,7 @@
   public Searcher(SearcherId id, Duration window, Duration pressureWindow, Duration coldWindow, int buckets) {
     this.id = id;
     busy = new TimeRing(window, buckets);
+    held = new TimeRing(window, buckets);
     answers = new TimeRing(window, buckets);
     waits = new TimeRing(window, buckets);
     errors = new TimeRing(window, buckets);
