--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -37,7 +37,7 @@
   private static final double ERROR_SHARE = 0.4;
   private static final double ERRORS_LEAST = 2;
   /** So many times the pace of the middle peer is slow. */
-  private static final double SLOW_TIMES = 3;
+  private static final double SLOW_TIMES = 2;
   private static final double ANSWERS_LEAST = 3;
   private static final double ANSWERS_LENT = 3;
   private static final double OWN_SHARE = 0.5;
