Hold no pace against searchers before ten answers have come

Cause: in the first second waiting time is divided by next to no answers; parts were kept back and coverage fell. Also guards a restarted mixer.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -37,9 +37,10 @@
   private static final double ERROR_SHARE = 0.4;
   private static final double ERRORS_LEAST = 2;
   /** So many times the pace of the middle peer is slow. */
-  private static final double SLOW_TIMES = 2;
+  private static final double SLOW_TIMES = 3;
   private static final double ANSWERS_LEAST = 3;
   private static final double ANSWERS_LENT = 3;
+  private static final double ANSWERS_TELLING = 10;
   private static final double OWN_SHARE = 0.5;
   private static final Duration BENCH_LEAST = Duration.ofSeconds(2);
   private static final Duration BENCH_MOST = Duration.ofSeconds(8);
@@ -327,6 +328,9 @@
   private Duration pace(Searcher searcher, Duration now) {
     noteBusy(searcher, now);
     double usual = fleetPace(now);
+    if (usual == 0) {
+      return Duration.ZERO;
+    }
     return Duration.ofNanos((long) ((searcher.busy.sum(now) + ANSWERS_LENT * usual)
         / (searcher.answers.sum(now) + ANSWERS_LENT)));
   }
@@ -340,7 +344,8 @@
         answers += searcher.answers.sum(now);
       }
       fleetPaceAt = now;
-      fleetPace = answers == 0 ? 0 : busy / answers;
+      // too few answers tell of the start, not of the fleet: nothing is kept back on them
+      fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
     }
     return fleetPace;
   }
