Cold guard measures by what warm searchers answered over the last half minute

Cause: measured against present sends to warm searchers, the guard knows nothing when the whole fleet starts at once. Now up to half the rule's multiple of the searcher's present share, of what warm ones answered.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -52,6 +52,8 @@
   private static final double EXTRA_SHARE = 0.1;
   /** How much a try's time must fall short of the longest seen to show that earlier tries used up the rest. */
   private static final double SHORT_TRY = 0.98;
+  private static final double COLD_SHARE = 0.5;
+  private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   private static final double WEIGHT_SLACK = 0.00005;
   private static final int LOG_LINES = 60;
@@ -79,6 +81,7 @@
   private final double coldFrom;
   private final Duration warmUp;
   private final Duration tipAfter;
+  private final double tipMultiple;
   private final boolean rationed;
   private final double extraFree;
   private final double extraRatio;
@@ -90,6 +93,8 @@
   private final TimeRing turnedAway = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   private Duration fleetPaceAt;
   private double fleetPace;
+  private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
+  private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private double coverage = 1;
   private Duration coverageMoved = Duration.ZERO;
 
@@ -109,6 +114,7 @@
     coldFrom = terms.number("Safety.ColdFrom", 1);
     warmUp = millis(terms.number("Safety.WarmUpMs", 0));
     tipAfter = millis(terms.number("Safety.TipAfterMs", 1));
+    tipMultiple = terms.number("Safety.TipMultiple", 1);
     rationed = map.containsKey("Safety.ResendSpanMs");
     Duration span = millis(terms.number("Safety.ResendSpanMs", 1));
     extraFree = terms.number("Safety.ExtraFree", 0);
@@ -382,26 +388,22 @@
   }
 
   /**
-   * The cold guard: in any window of the rule's length a searcher that started lately gets, of what a warm one gets
-   * from this mixer, no more than its present share of its capacity, every trip and copy counted from its first
-   * instant. Mixers that all keep to this stay far under the rule's multiple, whatever the load. It also keeps a
-   * searcher that is slow to start from drawing parts because it has none out. It may leave a fast starter idle.
+   * The cold guard: in any window of the rule's length a searcher that started lately gets at most its present
+   * share, times COLD_SHARE of the rule's multiple, of what warm searchers have answered this mixer in such a time
+   * over the last half minute; every trip and copy counts from its first instant. What was answered is never more
+   * than could be borne, so mixers that all keep to this stay under the rule together. The long memory serves a
+   * fleet that starts all at once. The guard also keeps a slow starter from drawing parts because it has none out;
+   * it may leave a fast starter idle.
    */
   private boolean coldRoom(Searcher searcher, Duration now) {
     if (!cold(searcher, now)) {
       return true;
     }
-    double warmSends = 0;
-    int warm = 0;
-    for (Searcher other : searchers.values()) {
-      if (other.listing.standing() == Listing.Standing.READY && !cold(other, now)) {
-        warmSends += other.sends.sumWithin(now);
-        warm++;
-      }
-    }
     double age = Math.max(0, now.minus(searcher.startedAt).minus(tipAfter).toNanos());
     double share = Math.min(1, coldFrom + (1 - coldFrom) * age / Math.max(1, warmUp.toNanos()));
-    return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(1, share * warmSends / Math.max(1, warm));
+    double usual = warmAnswers.sum(now) * tipAfter.toNanos() / Math.max(1, warmTime.sum(now));
+    return searcher.sends.sum(now) + searcher.plannedParts + 1
+        <= Math.max(1, COLD_SHARE * tipMultiple * share * usual);
   }
 
   private void send(Part part, Duration now) {
@@ -461,6 +463,7 @@
     switch (trip.outcome) {
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
+        warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
         searcher.waits.add(now, now.minus(trip.sent).toNanos());
         searcher.unheard = Duration.ZERO;
         searcher.settled.add(now, 1);
@@ -669,6 +672,9 @@
     }
     for (Searcher searcher : searchers.values()) {
       judge(searcher, now);
+      if (searcher.listing.standing() == Listing.Standing.READY && !cold(searcher, now)) {
+        warmTime.add(now, LOOK_ROUND.toNanos());
+      }
       if (searcher.benchedUntil != null && searcher.benchedUntil.compareTo(now) <= 0 && !searcher.probing) {
         if (probes && searcher.listing.standing() == Listing.Standing.READY) {
           searcher.probing = true;
