--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -26,6 +26,7 @@
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take: stays scatter about what is expected. */
+  private static final double WAIT_SHARE = 0.3;
   private static final double STAY_SHARE = 0.8;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
@@ -65,6 +66,7 @@
   private final Map<Integer, List<Searcher>> cells = new HashMap<>();
   private final Map<ScanId, Scan> scans = new HashMap<>();
   private final Map<Long, Scan> scansByNumber = new HashMap<>();
+  private final List<Scan> waiting = new ArrayList<>();
   private final Map<PartId, Part> parts = new HashMap<>();
   private final Map<WakeId, Runnable> wakes = new HashMap<>();
   private int wakeCount;
@@ -151,29 +153,35 @@
     return grade;
   }
 
-  /** A scan has come, with all its parts: the ordinary path. */
+  /** A scan has come, with all its parts. */
   public void scanArrived(ScanId id, long number, int gradeNumber, int tenant, long key, boolean repeat,
       Duration work, Duration end, List<Part> arrived) {
     Duration now = host.now();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, repeat, work, end);
     scan.quoted = quotedEnd(scan, now);
+    scan.waitEnd = now.plus(scale(scan.quoted.minus(now), WAIT_SHARE));
     hold(scan, arrived, now);
+    dispatch(scan, now);
+  }
+
+  /** The ordinary path of a scan. */
+  private void dispatch(Scan scan, Duration now) {
     // all parts while coverage is full; under pressure the heaviest, up to the coverage and never under the floor
-    List<Part> selected = select(scan, arrived);
+    if (scan.selected == null) {
+      scan.selected = select(scan);
+    }
     // each to the replica with the fewest own parts out, if one can be expected to answer in time
     double placed = 0;
     double late = 0;
-    for (Part part : selected) {
+    for (Part part : scan.selected) {
       if (plan(part, now)) {
         placed += part.weight;
       } else if (holders(part).stream().anyMatch(this::trusted)) {
         late++;
       }
     }
-    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
-    turnedAway.add(now, late);
-    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
-    for (Part part : selected) {
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK;
+    for (Part part : scan.selected) {
       if (enough && part.planned != null) {
         part.asked = true;
         firsts.add(now, 1);
@@ -181,16 +189,37 @@
       }
       unplan(part, now);
     }
-    if (!enough) {
+    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
+    if (!scan.waiting) {
+      turnedAway.add(now, late);
+    }
+    // without room for enough of them the scan waits a little, nothing sent, and is then given up
+    if (!enough && now.compareTo(scan.waitEnd) >= 0) {
       giveUp(scan);
       return;
     }
+    if (!enough) {
+      scan.waiting = true;
+      waiting.add(scan);
+      return;
+    }
     // it ends when its trips have, at the latest near its quoted time for what can be partial, or at its patience
     wakeAt(scan.quoted.minus(ANSWER_MARGIN), () -> settle(scan));
     wakeAt(scan.quoted, () -> quotedPassed(scan));
     wakeAt(scan.end.minus(CLOSE_MARGIN), () -> patienceEnds(scan));
   }
 
+  /** Room may have come up: the scans that wait for it try again, the first first. */
+  private void tryWaiting(Duration now) {
+    List<Scan> line = List.copyOf(waiting);
+    waiting.clear();
+    for (Scan scan : line) {
+      if (!scan.closed) {
+        dispatch(scan, now);
+      }
+    }
+  }
+
   /** The parts of the second step have come: all are needed, so all are sent. */
   public void secondStepArrived(long number, List<Part> arrived) {
     Duration now = host.now();
@@ -234,12 +263,12 @@
     return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
   }
 
-  private List<Part> select(Scan scan, List<Part> arrived) {
+  private List<Part> select(Scan scan) {
     double target = Math.max(coverage, least(scan));
+    List<Part> byWeight = new ArrayList<>(scan.parts);
     if (target >= 1) {
-      return arrived;
+      return byWeight;
     }
-    List<Part> byWeight = new ArrayList<>(arrived);
     byWeight.sort(Comparator.comparingDouble((Part part) -> -part.weight));
     List<Part> selected = new ArrayList<>();
     double sum = 0;
@@ -438,6 +467,7 @@
       if (!part.out()) {
         parts.remove(id);
       }
+      tryWaiting(now);
       return;
     }
     if (outcome == Outcome.SUCCEEDED) {
@@ -447,6 +477,7 @@
       sendAgain(part, now);
     }
     settle(part.scan);
+    tryWaiting(now);
   }
 
   /** Books an ended trip to its searcher: its load, its pace, its errors. */
@@ -670,6 +701,7 @@
       }
       coverage = moved;
     }
+    tryWaiting(now);
     for (Searcher searcher : searchers.values()) {
       judge(searcher, now);
       if (searcher.listing.standing() == Listing.Standing.READY && !cold(searcher, now)) {
@@ -836,6 +868,10 @@
     return Duration.ofNanos(Math.round(ms * 1e6));
   }
 
+  private static Duration scale(Duration span, double times) {
+    return Duration.ofNanos((long) (span.toNanos() * times));
+  }
+
   private static Duration min(Duration a, Duration b) {
     return a.compareTo(b) < 0 ? a : b;
   }
