--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -26,7 +26,6 @@
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take: stays scatter about what is expected. */
-  private static final double WAIT_SHARE = 0.3;
   private static final double STAY_SHARE = 0.8;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
@@ -66,7 +65,6 @@
   private final Map<Integer, List<Searcher>> cells = new HashMap<>();
   private final Map<ScanId, Scan> scans = new HashMap<>();
   private final Map<Long, Scan> scansByNumber = new HashMap<>();
-  private final List<Scan> waiting = new ArrayList<>();
   private final Map<PartId, Part> parts = new HashMap<>();
   private final Map<WakeId, Runnable> wakes = new HashMap<>();
   private int wakeCount;
@@ -153,35 +151,29 @@
     return grade;
   }
 
-  /** A scan has come, with all its parts. */
+  /** A scan has come, with all its parts: the ordinary path. */
   public void scanArrived(ScanId id, long number, int gradeNumber, int tenant, long key, boolean repeat,
       Duration work, Duration end, List<Part> arrived) {
     Duration now = host.now();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, repeat, work, end);
     scan.quoted = quotedEnd(scan, now);
-    scan.waitEnd = now.plus(scale(scan.quoted.minus(now), WAIT_SHARE));
     hold(scan, arrived, now);
-    dispatch(scan, now);
-  }
-
-  /** The ordinary path of a scan. */
-  private void dispatch(Scan scan, Duration now) {
     // all parts while coverage is full; under pressure the heaviest, up to the coverage and never under the floor
-    if (scan.selected == null) {
-      scan.selected = select(scan);
-    }
+    List<Part> selected = select(scan, arrived);
     // each to the replica with the fewest own parts out, if one can be expected to answer in time
     double placed = 0;
     double late = 0;
-    for (Part part : scan.selected) {
+    for (Part part : selected) {
       if (plan(part, now)) {
         placed += part.weight;
       } else if (holders(part).stream().anyMatch(this::trusted)) {
         late++;
       }
     }
-    boolean enough = placed >= least(scan) - WEIGHT_SLACK;
-    for (Part part : scan.selected) {
+    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
+    turnedAway.add(now, late);
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
+    for (Part part : selected) {
       if (enough && part.planned != null) {
         part.asked = true;
         firsts.add(now, 1);
@@ -189,18 +181,8 @@
       }
       unplan(part, now);
     }
-    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
-    if (!scan.waiting) {
-      turnedAway.add(now, late);
-    }
-    // without room for enough of them the scan waits a little, nothing sent, and is then given up
-    if (!enough && now.compareTo(scan.waitEnd) >= 0) {
-      giveUp(scan);
-      return;
-    }
     if (!enough) {
-      scan.waiting = true;
-      waiting.add(scan);
+      giveUp(scan);
       return;
     }
     // it ends when its trips have, at the latest near its quoted time for what can be partial, or at its patience
@@ -209,17 +191,6 @@
     wakeAt(scan.end.minus(CLOSE_MARGIN), () -> patienceEnds(scan));
   }
 
-  /** Room may have come up: the scans that wait for it try again, the first first. */
-  private void tryWaiting(Duration now) {
-    List<Scan> line = List.copyOf(waiting);
-    waiting.clear();
-    for (Scan scan : line) {
-      if (!scan.closed) {
-        dispatch(scan, now);
-      }
-    }
-  }
-
   /** The parts of the second step have come: all are needed, so all are sent. */
   public void secondStepArrived(long number, List<Part> arrived) {
     Duration now = host.now();
@@ -263,12 +234,12 @@
     return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
   }
 
-  private List<Part> select(Scan scan) {
+  private List<Part> select(Scan scan, List<Part> arrived) {
     double target = Math.max(coverage, least(scan));
-    List<Part> byWeight = new ArrayList<>(scan.parts);
     if (target >= 1) {
-      return byWeight;
+      return arrived;
     }
+    List<Part> byWeight = new ArrayList<>(arrived);
     byWeight.sort(Comparator.comparingDouble((Part part) -> -part.weight));
     List<Part> selected = new ArrayList<>();
     double sum = 0;
@@ -428,11 +399,18 @@
     if (!cold(searcher, now)) {
       return true;
     }
-    double age = Math.max(0, now.minus(searcher.startedAt).minus(tipAfter).toNanos());
-    double share = Math.min(1, coldFrom + (1 - coldFrom) * age / Math.max(1, warmUp.toNanos()));
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / Math.max(1, warmTime.sum(now));
     return searcher.sends.sum(now) + searcher.plannedParts + 1
-        <= Math.max(1, COLD_SHARE * tipMultiple * share * usual);
+        <= Math.max(1, COLD_SHARE * tipMultiple * warmth(searcher, now) * usual);
+  }
+
+  /** The least share of its capacity that a searcher may have had a window ago: 1 once it is warm. */
+  private double warmth(Searcher searcher, Duration now) {
+    if (!cold(searcher, now)) {
+      return 1;
+    }
+    double age = Math.max(0, now.minus(searcher.startedAt).minus(tipAfter).toNanos());
+    return Math.min(1, coldFrom + (1 - coldFrom) * age / Math.max(1, warmUp.toNanos()));
   }
 
   private void send(Part part, Duration now) {
@@ -467,7 +445,6 @@
       if (!part.out()) {
         parts.remove(id);
       }
-      tryWaiting(now);
       return;
     }
     if (outcome == Outcome.SUCCEEDED) {
@@ -477,7 +454,6 @@
       sendAgain(part, now);
     }
     settle(part.scan);
-    tryWaiting(now);
   }
 
   /** Books an ended trip to its searcher: its load, its pace, its errors. */
@@ -701,7 +677,6 @@
       }
       coverage = moved;
     }
-    tryWaiting(now);
     for (Searcher searcher : searchers.values()) {
       judge(searcher, now);
       if (searcher.listing.standing() == Listing.Standing.READY && !cold(searcher, now)) {
@@ -749,7 +724,8 @@
     Duration silence = max(SILENCE, Duration.ofNanos((long) (SILENCE_WAITS * usualWait(now))));
     noteBusy(searcher, now);
     // only time with own parts out counts, and only from the last word on: a busy searcher still answers now and then
-    if (searcher.unheard.compareTo(silence) > 0) {
+    // and a cold one takes its time
+    if (searcher.unheard.toNanos() > silence.toNanos() / warmth(searcher, now)) {
       bench(searcher, "silent");
     } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * (errors + searcher.answers.sum(now))) {
       bench(searcher, "errors");
@@ -868,10 +844,6 @@
     return Duration.ofNanos(Math.round(ms * 1e6));
   }
 
-  private static Duration scale(Duration span, double times) {
-    return Duration.ofNanos((long) (span.toNanos() * times));
-  }
-
   private static Duration min(Duration a, Duration b) {
     return a.compareTo(b) < 0 ? a : b;
   }
--- a/src/main/java/gingerring/decide/Scan.java
+++ b/src/main/java/gingerring/decide/Scan.java
@@ -17,11 +17,6 @@
   public final List<Part> parts = new ArrayList<>();
   /** By when its client is to have its answer. */
   public Duration quoted;
-  /** The parts that the selection chose, once it has. */
-  public List<Part> selected;
-  /** Until when it may wait for room, and whether it has had to. */
-  public Duration waitEnd;
-  public boolean waiting;
   /** The first step's parts have been answered from, and the second step's are awaited or out. */
   public boolean secondStep;
   public boolean firstWhole;
