--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -52,7 +52,7 @@
   private static final double EXTRA_SHARE = 0.1;
   /** How much a try's time must fall short of the longest seen to show that earlier tries used up the rest. */
   private static final double SHORT_TRY = 0.98;
-  private static final double COLD_SHARE = 0.75;
+  private static final double COLD_SHARE = 1;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   private static final double WEIGHT_SLACK = 0.00005;
