--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -170,9 +170,10 @@
         late++;
       }
     }
-    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
-    turnedAway.add(now, late);
     boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
+    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement, and with
+    // a scan that is turned away for it go all its parts: else whole scans starve beside wide ones that can narrow
+    turnedAway.add(now, enough || late == 0 ? late : selected.size());
     for (Part part : selected) {
       if (enough && part.planned != null) {
         part.asked = true;
