Tell time spent on earlier tries by tries of unusual patience

Cause: a client's last try runs to the end of its patience and so may bring more time than the usual try. Now a running vote tells the usual time of a try, and any other tells what is left.

--- a/src/main/java/gingerring/decide/Grade.java
+++ b/src/main/java/gingerring/decide/Grade.java
@@ -16,8 +16,9 @@
   public double floor;
   public double need;
   public int fetch;
-  /** The longest time that a try of this grade was given. */
-  public Duration longestTry = Duration.ZERO;
+  /** The time that most tries of this grade are given, by a running vote. */
+  public Duration usualTry = Duration.ZERO;
+  public int usualVotes;
 
   public boolean partial() {
     return floor < need && repeats == Repeats.REISSUABLE;
--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -50,8 +50,9 @@
   /** Own ration of further trips, beside any that the rules set: so many, and so many for each first trip. */
   private static final double EXTRA_FEW = 2;
   private static final double EXTRA_SHARE = 0.1;
-  /** How much a try's time must fall short of the longest seen to show that earlier tries used up the rest. */
-  private static final double SHORT_TRY = 0.98;
+  /** How near a try's time must come to the usual one to be of it, and how many tries outvote that. */
+  private static final double USUAL_TRY = 0.01;
+  private static final int USUAL_VOTES = 20;
   private static final double COLD_SHARE = 1;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
@@ -170,10 +171,9 @@
         late++;
       }
     }
+    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
+    turnedAway.add(now, late);
     boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
-    // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement, and with
-    // a scan that is turned away for it go all its parts: else whole scans starve beside wide ones that can narrow
-    turnedAway.add(now, enough || late == 0 ? late : selected.size());
     for (Part part : selected) {
       if (enough && part.planned != null) {
         part.asked = true;
@@ -222,16 +222,24 @@
     rationTaken.add(now, arrived.size() + (scan.parts.size() == arrived.size() ? 1 : 0));
   }
 
-  /** Counted from the client's first try, where the time that it has left shows how long ago that was. */
+  /**
+   * Counted from the client's first try. Most tries are given up after one and the same time; a try that brings
+   * another one brings what is left of its client's patience, which tells how long ago the first try was. Guards
+   * against spending work on repeats whose quoted time has passed. It may misjudge a client of unusual patience.
+   */
   private Duration quotedEnd(Scan scan, Duration now) {
     Grade grade = scan.grade;
     Duration left = scan.end.minus(now);
-    if (left.compareTo(grade.longestTry) > 0) {
-      grade.longestTry = left;
-    }
-    boolean shortTry = left.toNanos() < SHORT_TRY * grade.longestTry.toNanos();
-    Duration spent = shortTry ? max(Duration.ZERO, grade.patience.minus(left)) : Duration.ZERO;
-    Duration stretch = Duration.ofNanos((long) (grade.quotedStretch * scan.work.toNanos()));
+    boolean usual = Math.abs(left.minus(grade.usualTry).toNanos()) <= USUAL_TRY * grade.usualTry.toNanos();
+    if (usual) {
+      grade.usualVotes = Math.min(USUAL_VOTES, grade.usualVotes + 1);
+    } else if (--grade.usualVotes < 0) {
+      grade.usualTry = left;
+      grade.usualVotes = 1;
+      usual = true;
+    }
+    Duration spent = usual ? Duration.ZERO : max(Duration.ZERO, grade.patience.minus(left));
+    Duration stretch = scale(scan.work, grade.quotedStretch);
     return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
   }
 
@@ -845,6 +853,10 @@
     return Duration.ofNanos(Math.round(ms * 1e6));
   }
 
+  private static Duration scale(Duration span, double times) {
+    return Duration.ofNanos((long) (span.toNanos() * times));
+  }
+
   private static Duration min(Duration a, Duration b) {
     return a.compareTo(b) < 0 ? a : b;
   }
