--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -688,7 +688,8 @@
     }
     for (Searcher searcher : searchers.values()) {
       judge(searcher, now);
-      if (searcher.listing.standing() == Listing.Standing.READY && !cold(searcher, now)) {
+      // a searcher that answers nothing bears nothing: its time is not time of a warm one
+      if (searcher.answers.sum(now) > 0 && !cold(searcher, now)) {
         warmTime.add(now, LOOK_ROUND.toNanos());
       }
       if (searcher.benchedUntil != null && searcher.benchedUntil.compareTo(now) <= 0 && !searcher.probing) {
