Make the module smaller: state holders, roster and spans move beside it

No decision changed but three: cold turns grow longer with many mixers (more than four), so that one part each is never too much; a part judged late settles once; the second step of a grade with a need under 1 asks for all.

--- a/src/main/java/gingerring/Main.java
+++ b/src/main/java/gingerring/Main.java
@@ -11,7 +11,7 @@
     if (args.length == 1 && args[0].equals("drill")) {
       System.exit(new Drill(System.in, System.out).run(System.err));
     }
-    System.err.println("usage: java -jar gingerring.jar drill    decide on the bench's wire, on standard input and output");
+    System.err.println("usage: java -jar gingerring.jar drill    (decides on the bench's wire)");
     System.exit(2);
   }
 }
--- a/src/main/java/gingerring/decide/Grade.java
+++ b/src/main/java/gingerring/decide/Grade.java
@@ -20,6 +20,29 @@
   public Duration usualTry = Duration.ZERO;
   public int usualVotes;
 
+  /** Reads the grade of a number. */
+  static Grade read(Terms terms, int i) {
+    String at = "Classes." + i + ".";
+    Grade grade = new Grade();
+    String repeats = terms.text(at + "Idempotency");
+    grade.repeats = switch (repeats) {
+      case "idempotent" -> Repeats.REISSUABLE;
+      case "deduplicated" -> Repeats.NUMBERED;
+      case "at_most_once" -> Repeats.AT_MOST_ONCE;
+      default -> throw new IllegalArgumentException("setting " + at + "Idempotency is unknown: " + repeats);
+    };
+    grade.quoted = terms.span(at + "AimMs");
+    grade.quotedStretch = terms.number(at + "AimStretch", 0);
+    grade.patience = terms.span(at + "HardLimitMs");
+    grade.window = grade.repeats == Repeats.NUMBERED ? terms.span(at + "WindowMs") : Duration.ZERO;
+    grade.lateShare = terms.number(at + "LateWorth", 0);
+    grade.need = terms.item("Domain.NeedByClass", i, 1);
+    grade.floor = terms.item("Domain.ClassFloor", i, grade.need);
+    grade.fetch = (int) terms.item("Domain.ClassFetch", i, 0);
+    return grade;
+  }
+
+  /** May be answered from some of its parts: only a grade that may run again can leave the others behind. */
   public boolean partial() {
     return floor < need && repeats == Repeats.REISSUABLE;
   }
--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -1,18 +1,22 @@
 package gingerring.decide;
 
+import static gingerring.decide.Spans.max;
+import static gingerring.decide.Spans.min;
+import static gingerring.decide.Spans.scale;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
 /**
- * Decides what becomes of the scans at one mixer. Its host calls one method for each thing that happens, one call
- * at a time, and the mixer acts at once through the {@link Host} that it was handed at start. Nothing here knows
- * of a wire, another mixer or a real clock. docs/design.md says what is the design's and what departs from it.
+ * Decides what becomes of the scans at one mixer. Its host calls one method for each thing that happens,
+ * one call at a time, and the mixer acts at once through the {@link Host} that it was handed at start.
+ * Nothing here knows of a wire, another mixer or a real clock. docs/design.md says what is the design's and
+ * what departs from it.
  */
 public final class Mixer {
   // The design's starting values.
@@ -25,13 +29,18 @@
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
-  /** The share of the time left that a part's expected stay may take: stays scatter about what is expected. */
+  /**
+   * The share of the time left that a part's expected stay may take: stays scatter about what is expected.
+   */
   private static final double STAY_SHARE = 0.8;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
   private static final Duration LOOK_ROUND = Duration.ofMillis(100);
-  /** No word for this long, and for this many usual waits, is silence: longer than pauses of healthy searchers. */
+  /**
+   * No word for this long, and for this many usual waits, is silence: longer than pauses of healthy
+   * searchers.
+   */
   private static final Duration SILENCE = Duration.ofMillis(700);
   private static final double SILENCE_WAITS = 3;
   private static final double ERROR_SHARE = 0.4;
@@ -54,6 +63,7 @@
   private static final double USUAL_TRY = 0.01;
   private static final int USUAL_VOTES = 20;
   private static final double COLD_SHARE = 1;
+  private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   private static final double WEIGHT_SLACK = 0.00005;
@@ -62,8 +72,7 @@
   private final Host host;
   private final RandomGenerator chance;
   private final List<Grade> grades = new ArrayList<>();
-  private final Map<SearcherId, Searcher> searchers = new TreeMap<>();
-  private final Map<Integer, List<Searcher>> cells = new HashMap<>();
+  private final Roster roster;
   private final Map<ScanId, Scan> scans = new HashMap<>();
   private final Map<Long, Scan> scansByNumber = new HashMap<>();
   private final Map<PartId, Part> parts = new HashMap<>();
@@ -71,21 +80,8 @@
   private int wakeCount;
   private int logged;
 
-  private final int places;
-  private final int reach;
-  private final int callParts;
-  private final int tripsMost;
-  private final boolean copies;
-  private final boolean recalls;
-  private final boolean probes;
-  private final Duration comeBackMost;
-  private final double coldFrom;
-  private final Duration warmUp;
+  private final Terms terms;
   private final Duration tipAfter;
-  private final double tipMultiple;
-  private final boolean rationed;
-  private final double extraFree;
-  private final double extraRatio;
   private final TimeRing rationExtras;
   private final TimeRing rationTaken;
 
@@ -102,64 +98,30 @@
   public Mixer(Map<String, String> map, RandomGenerator chance, Host host) {
     this.host = host;
     this.chance = chance;
-    Terms terms = new Terms(map);
-    places = terms.count("Domain.Places");
-    reach = terms.count("Domain.Reach");
-    callParts = (int) terms.number("Domain.Batch", 1);
-    tripsMost = (int) terms.number("PolicyLimits.MaxAttempts", 1);
-    copies = terms.flag("PolicyLimits.SecondCopies");
-    recalls = terms.flag("PolicyLimits.Cancel");
-    probes = terms.flag("PolicyLimits.Probing");
-    comeBackMost = terms.flag("PolicyLimits.RetryAfter")
-        ? millis(terms.number("PolicyLimits.MaxRetryAfterMs", 0)) : Duration.ZERO;
-    coldFrom = terms.number("Safety.ColdFrom", 1);
-    warmUp = millis(terms.number("Safety.WarmUpMs", 0));
-    tipAfter = millis(terms.number("Safety.TipAfterMs", 1));
-    tipMultiple = terms.number("Safety.TipMultiple", 1);
-    rationed = map.containsKey("Safety.ResendSpanMs");
-    Duration span = millis(terms.number("Safety.ResendSpanMs", 1));
-    extraFree = terms.number("Safety.ExtraFree", 0);
-    extraRatio = terms.number("Safety.ResendRatio", 0);
-    rationExtras = new TimeRing(span, BUCKETS);
-    rationTaken = new TimeRing(span, BUCKETS);
+    terms = new Terms(map);
+    roster = new Roster(terms.count("Domain.Places"), terms.count("Domain.Reach"));
     for (int i = 0; i < terms.count("Classes.count"); i++) {
-      grades.add(grade(terms, i));
+      grades.add(Grade.read(terms, i));
     }
+    tipAfter = terms.span("Safety.TipAfterMs", HEALTH_WINDOW);
+    Duration rationSpan = terms.span("Safety.ResendSpanMs", HEALTH_WINDOW);
+    rationExtras = new TimeRing(rationSpan, BUCKETS);
+    rationTaken = new TimeRing(rationSpan, BUCKETS);
     if (terms.text("Discovery").equals("subscribe")) {
       host.watchRoster(true);
     }
     wakeAfter(LOOK_ROUND, this::lookRound);
   }
 
-  private static Grade grade(Terms terms, int i) {
-    String at = "Classes." + i + ".";
-    Grade grade = new Grade();
-    String repeats = terms.text(at + "Idempotency");
-    grade.repeats = switch (repeats) {
-      case "idempotent" -> Grade.Repeats.REISSUABLE;
-      case "deduplicated" -> Grade.Repeats.NUMBERED;
-      case "at_most_once" -> Grade.Repeats.AT_MOST_ONCE;
-      default -> throw new IllegalArgumentException("setting " + at + "Idempotency is unknown: " + repeats);
-    };
-    grade.quoted = millis(terms.number(at + "AimMs"));
-    grade.quotedStretch = terms.number(at + "AimStretch", 0);
-    grade.patience = millis(terms.number(at + "HardLimitMs"));
-    grade.window = grade.repeats == Grade.Repeats.NUMBERED ? millis(terms.number(at + "WindowMs")) : Duration.ZERO;
-    grade.lateShare = terms.number(at + "LateWorth", 0);
-    grade.need = terms.item("Domain.NeedByClass", i, 1);
-    grade.floor = terms.item("Domain.ClassFloor", i, grade.need);
-    grade.fetch = (int) terms.item("Domain.ClassFetch", i, 0);
-    return grade;
-  }
-
   /** A scan has come, with all its parts: the ordinary path. */
-  public void scanArrived(ScanId id, long number, int gradeNumber, int tenant, long key, boolean repeat,
-      Duration work, Duration end, List<Part> arrived) {
+  public void scanArrived(ScanId id, long number, int gradeNumber, long key, Duration work, Duration end,
+      List<Part> arrived) {
     Duration now = host.now();
-    Scan scan = new Scan(id, number, grades.get(gradeNumber), key, repeat, work, end);
+    Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
     scan.quoted = quotedEnd(scan, now);
     hold(scan, arrived, now);
-    // all parts while coverage is full; under pressure the heaviest, up to the coverage and never under the floor
+    // all parts while coverage is full; under pressure the heaviest, up to the coverage and never under the
+    // floor
     List<Part> selected = select(scan, arrived);
     // each to the replica with the fewest own parts out, if one can be expected to answer in time
     double placed = 0;
@@ -167,7 +129,7 @@
     for (Part part : selected) {
       if (plan(part, now)) {
         placed += part.weight;
-      } else if (holders(part).stream().anyMatch(this::trusted)) {
+      } else if (roster.holders(part.shard).stream().anyMatch(this::trusted)) {
         late++;
       }
     }
@@ -176,17 +138,17 @@
     boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
     for (Part part : selected) {
       if (enough && part.planned != null) {
-        part.asked = true;
         firsts.add(now, 1);
         send(part, now);
       }
-      unplan(part, now);
+      unplan(part);
     }
     if (!enough) {
       giveUp(scan);
       return;
     }
-    // it ends when its trips have, at the latest near its quoted time for what can be partial, or at its patience
+    // it ends when its trips have, at the latest near its quoted time for what can be partial, or at its
+    // patience
     wakeAt(scan.quoted.minus(ANSWER_MARGIN), () -> settle(scan));
     wakeAt(scan.quoted, () -> quotedPassed(scan));
     wakeAt(scan.end.minus(CLOSE_MARGIN), () -> patienceEnds(scan));
@@ -201,12 +163,11 @@
     }
     hold(scan, arrived, now);
     for (Part part : arrived) {
-      part.asked = true;
       firsts.add(now, 1);
       if (plan(part, now)) {
         send(part, now);
       }
-      unplan(part, now);
+      unplan(part);
     }
     settle(scan);
   }
@@ -223,9 +184,10 @@
   }
 
   /**
-   * Counted from the client's first try. Most tries are given up after one and the same time; a try that brings
-   * another one brings what is left of its client's patience, which tells how long ago the first try was. Guards
-   * against spending work on repeats whose quoted time has passed. It may misjudge a client of unusual patience.
+   * Counted from the client's first try. Most tries are given up after one and the same time; a try that
+   * brings another one brings what is left of its client's patience, which tells how long ago the first try
+   * was. Guards against spending work on repeats whose quoted time has passed. It may misjudge a client of
+   * unusual patience.
    */
   private Duration quotedEnd(Scan scan, Duration now) {
     Grade grade = scan.grade;
@@ -266,17 +228,10 @@
     return scan.grade.partial() ? scan.grade.floor : scan.grade.need;
   }
 
-  private List<Searcher> holders(Part part) {
-    List<Searcher> holders = new ArrayList<>();
-    for (int j = 0; j < reach; j++) {
-      holders.addAll(cells.getOrDefault(Math.floorMod(part.shard + j, places), List.of()));
-    }
-    return holders;
-  }
-
   /**
-   * Finds the replica for a part's next trip: fewest own parts out, ties from its home on. Benched searchers come
-   * in only where no trusted one can take the part: a shard is better asked of a doubtful holder than of none.
+   * Finds the replica for a part's next trip: fewest own parts out, ties from its home on. Benched
+   * searchers come in only where no trusted one can take the part: a shard is better asked of a doubtful
+   * holder than of none.
    */
   private boolean plan(Part part, Duration now) {
     if (!plan(part, now, false)) {
@@ -289,7 +244,7 @@
   }
 
   private boolean plan(Part part, Duration now, boolean benched) {
-    List<Searcher> holders = holders(part);
+    List<Searcher> holders = roster.holders(part.shard);
     int home = home(part, Math.max(1, holders.size()));
     Duration left = (now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end).minus(now);
     for (int i = 0; i < holders.size(); i++) {
@@ -304,7 +259,7 @@
     return part.planned != null;
   }
 
-  private void unplan(Part part, Duration now) {
+  private void unplan(Part part) {
     if (part.planned != null) {
       part.planned.plannedParts--;
       part.planned = null;
@@ -318,16 +273,10 @@
     return (int) Math.floorMod(hash ^ (hash >>> 32), (long) holders);
   }
 
-  /** Own calls out at a searcher, with those that are planned. */
-  private int load(Searcher searcher, Duration now) {
-    boolean open = searcher.call != null && searcher.call.made.equals(now) && searcher.call.parts < callParts;
-    int joining = open ? Math.min(searcher.plannedParts, callParts - searcher.call.parts) : 0;
-    return searcher.callsOut + (searcher.plannedParts - joining + callParts - 1) / callParts;
-  }
-
   /**
-   * How long a part sent now would stay: what parts stayed there of late, and for each own part out beyond the
-   * usual number a share of the pace, since other mixers' parts stand in the same line and do not grow with ours.
+   * How long a part sent now would stay: what parts stayed there of late, and for each own part out beyond
+   * the usual number a share of the pace, since other mixers' parts stand in the same line and do not grow
+   * with ours.
    */
   private Duration stay(Searcher searcher, Duration now) {
     Duration pace = pace(searcher, now);
@@ -338,10 +287,11 @@
 
   /**
    * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. The
-   * fleet's pace counts as a few answers more, so that one pause at a quiet mixer does not make a searcher slow.
+   * fleet's pace counts as a few answers more, so that one pause at a quiet mixer does not make a searcher
+   * slow.
    */
   private Duration pace(Searcher searcher, Duration now) {
-    noteBusy(searcher, now);
+    searcher.noteBusy(now);
     double usual = fleetPace(now);
     if (usual == 0) {
       return Duration.ZERO;
@@ -354,7 +304,7 @@
     if (!now.equals(fleetPaceAt)) {
       double busy = 0;
       double answers = 0;
-      for (Searcher searcher : searchers.values()) {
+      for (Searcher searcher : roster.all()) {
         busy += searcher.busy.sum(now);
         answers += searcher.answers.sum(now);
       }
@@ -365,18 +315,16 @@
     return fleetPace;
   }
 
-  private static void noteBusy(Searcher searcher, Duration now) {
-    if (searcher.busySince != null) {
-      long span = now.minus(searcher.busySince).toNanos();
-      searcher.busy.add(now, span);
-      searcher.held.add(now, (double) span * searcher.out.size());
-      searcher.unheard = searcher.unheard.plus(now.minus(searcher.busySince));
-    }
-    searcher.busySince = searcher.out.isEmpty() ? null : now;
+  private int load(Searcher searcher, Duration now) {
+    return searcher.load(now, callParts());
+  }
+
+  private int callParts() {
+    return (int) terms.number("Domain.Batch", 1);
   }
 
   private boolean trusted(Searcher searcher) {
-    return searcher.listing.standing() == Listing.Standing.READY && (searcher.benchedUntil == null || panic());
+    return searcher.ready() && (searcher.benchedUntil == null || panic());
   }
 
   private boolean usable(Searcher searcher) {
@@ -385,32 +333,35 @@
   }
 
   private boolean panic() {
-    long ready = searchers.values().stream()
-        .filter(searcher -> searcher.listing.standing() == Listing.Standing.READY).count();
-    long benched = searchers.values().stream().filter(searcher ->
-        searcher.listing.standing() == Listing.Standing.READY && searcher.benchedUntil != null).count();
+    long ready = roster.all().stream().filter(Searcher::ready).count();
+    long benched = roster.all().stream().filter(each -> each.ready() && each.benchedUntil != null).count();
     return benched > BENCHED_MOST * ready;
   }
 
   private boolean cold(Searcher searcher, Duration now) {
+    Duration warmUp = terms.span("Safety.WarmUpMs", Duration.ZERO);
     return searcher.startedAt != null && now.minus(searcher.startedAt).compareTo(warmUp.plus(tipAfter)) < 0;
   }
 
   /**
-   * The cold guard: in any window of the rule's length a searcher that started lately gets at most its present
-   * share, times COLD_SHARE of the rule's multiple, of what warm searchers have answered this mixer in such a time
-   * over the last half minute; every trip and copy counts from its first instant. What was answered is never more
-   * than could be borne, so mixers that all keep to this stay under the rule together. The long memory serves a
-   * fleet that starts all at once. The guard also keeps a slow starter from drawing parts because it has none out;
-   * it may leave a fast starter idle.
+   * The cold guard: in any window of the rule's length a searcher that started lately gets at most its
+   * present share, times COLD_SHARE of the rule's multiple, of what warm searchers have answered this mixer
+   * in such a time over the last half minute; every trip and copy counts from its first instant. What was
+   * answered is never more than could be borne, so mixers that all keep to this stay under the rule
+   * together. The long memory serves a fleet that starts all at once. The guard also keeps a slow starter
+   * from drawing parts because it has none out; it may leave a fast starter idle.
    */
   private boolean coldRoom(Searcher searcher, Duration now) {
     if (!cold(searcher, now)) {
       return true;
     }
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / Math.max(1, warmTime.sum(now));
-    return searcher.sends.sum(now) + searcher.plannedParts + 1
-        <= Math.max(1, COLD_SHARE * tipMultiple * warmth(searcher, now) * usual);
+    // so many mixers that one part each were too much take longer turns
+    double turn = Math.max(1, terms.number("FleetSize") / COLD_MIXERS);
+    boolean itsTurn = searcher.lastSent == null
+        || now.minus(searcher.lastSent).compareTo(scale(tipAfter, turn)) > 0;
+    double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
+    return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
   }
 
   /** The least share of its capacity that a searcher may have had a window ago: 1 once it is warm. */
@@ -419,23 +370,13 @@
       return 1;
     }
     double age = Math.max(0, now.minus(searcher.startedAt).minus(tipAfter).toNanos());
-    return Math.min(1, coldFrom + (1 - coldFrom) * age / Math.max(1, warmUp.toNanos()));
+    double coldFrom = terms.number("Safety.ColdFrom", 1);
+    return Math.min(1, coldFrom + (1 - coldFrom) * age / terms.span("Safety.WarmUpMs").toNanos());
   }
 
   private void send(Part part, Duration now) {
     Searcher searcher = part.planned;
-    if (searcher.call == null || !searcher.call.made.equals(now) || searcher.call.parts >= callParts) {
-      searcher.call = new Trip.Call(now);
-      searcher.callsOut++;
-    }
-    noteBusy(searcher, now);
-    Trip trip = new Trip(part, searcher, now, searcher.call);
-    trip.call.parts++;
-    trip.call.out++;
-    part.trips.add(trip);
-    searcher.out.add(trip);
-    searcher.busySince = now;
-    searcher.sends.add(now, 1);
+    part.trips.add(searcher.send(part, now, callParts()));
     host.send(part.id, searcher.id, part.scan.end.minus(now));
   }
 
@@ -468,21 +409,14 @@
   /** Books an ended trip to its searcher: its load, its pace, its errors. */
   private void note(Trip trip, Duration now) {
     Searcher searcher = trip.searcher;
-    noteBusy(searcher, now);
-    searcher.out.remove(trip);
-    if (--trip.call.out == 0) {
-      searcher.callsOut--;
-    }
-    if (searcher.out.isEmpty()) {
-      searcher.busySince = null;
-    }
+    searcher.end(trip, now);
     switch (trip.outcome) {
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
         warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
         searcher.waits.add(now, now.minus(trip.sent).toNanos());
         searcher.unheard = Duration.ZERO;
-        searcher.settled.add(now, 1);
+        searcher.settled.add(now, trip.judgedLate ? 0 : 1);
         if (searcher.trialsLeft > 0) {
           searcher.trialsLeft--;
         }
@@ -510,77 +444,67 @@
     }
   }
 
-  /** Another trip for a part, if rules, ration and time allow one and some other searcher can be expected to do it. */
+  /** Another trip for a part, if rules, ration and time allow one and some other searcher can do it. */
   private void sendAgain(Part part, Duration now) {
     if (mayGoAgain(part, now) && withinRation(now) && plan(part, now)) {
       extras.add(now, 1);
       rationExtras.add(now, 1);
       send(part, now);
     }
-    unplan(part, now);
+    unplan(part);
   }
 
   /** What the rules say of another trip now, whatever it may be good for. */
   private boolean mayGoAgain(Part part, Duration now) {
+    Scan scan = part.scan;
     Duration since = part.mayHaveRunSince();
-    boolean harmless = switch (part.scan.grade.repeats) {
+    boolean harmless = switch (scan.grade.repeats) {
       case REISSUABLE -> true;
-      case NUMBERED -> since == null || now.minus(since).compareTo(part.scan.grade.window) < 0;
+      case NUMBERED -> since == null || now.minus(since).compareTo(scan.grade.window) < 0;
       case AT_MOST_ONCE -> since == null;
     };
+    boolean open = !scan.closed && !part.in && !part.over && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
     long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
-    return harmless && !part.scan.closed && !part.in && !part.over && part.trips.size() < tripsMost
-        && (out == 0 || out == 1 && copies) && now.compareTo(part.scan.end.minus(CLOSE_MARGIN)) < 0
-        && (!rationed || rationExtras.sum(now) + 1 <= extraFree + extraRatio * rationTaken.sumWithin(now));
+    boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
+    double allowed = terms.number("Safety.ExtraFree", 0)
+        + terms.number("Safety.ResendRatio", 0) * rationTaken.sumWithin(now);
+    boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + 1 <= allowed;
+    return harmless && open && place && ration
+        && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
-  /** Further trips feed a jam, so their number follows that of first trips, and none goes out under pressure. */
+  /**
+   * Further trips feed a jam, so their number follows that of first trips, and none goes out under
+   * pressure.
+   */
   private boolean withinRation(Duration now) {
-    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now) && pressure(now) <= PRESSURE_BOUND;
+    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now)
+        && pressure(now) <= PRESSURE_BOUND;
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
   private void settle(Scan scan) {
-    if (scan.closed) {
+    List<Part> step = scan.step();
+    if (scan.closed || step.isEmpty()) {
       return;
     }
     Duration now = host.now();
+    double need = scan.secondStep ? 1 : scan.grade.need;
+    double least = scan.grade.partial() ? scan.grade.floor : need;
     double in = 0;
     double possible = 0;
     boolean out = false;
-    for (Part part : scan.parts) {
+    for (Part part : step) {
       boolean partOut = !part.in && part.out();
       out |= partOut;
       in += part.in ? part.weight : 0;
       possible += part.in || partOut ? part.weight : 0;
     }
-    if (scan.secondStep) {
-      settleSecondStep(scan, now, out);
-      return;
-    }
-    boolean whole = in >= scan.grade.need - WEIGHT_SLACK;
-    boolean enough = in >= least(scan) - WEIGHT_SLACK;
+    boolean all = in >= need - WEIGHT_SLACK;
     boolean near = now.compareTo(scan.quoted.minus(ANSWER_MARGIN)) >= 0;
-    if (whole || enough && (!out || near)) {
-      answer(scan, whole);
-    } else if (!out || possible < least(scan) - WEIGHT_SLACK) {
-      giveUp(scan);
-    }
-  }
-
-  private void settleSecondStep(Scan scan, Duration now, boolean out) {
-    List<Part> second = scan.parts.subList(scan.firstParts, scan.parts.size());
-    if (second.isEmpty()) {
-      return;
-    }
-    double in = second.stream().filter(part -> part.in).mapToDouble(part -> part.weight).sum();
-    boolean all = second.stream().allMatch(part -> part.in);
-    double floor = scan.grade.partial() ? scan.grade.floor : 1;
-    boolean enough = in >= floor - WEIGHT_SLACK;
-    boolean near = now.compareTo(scan.quoted.minus(ANSWER_MARGIN)) >= 0;
-    if (all || enough && (!out || near)) {
-      answer(scan, all && scan.firstWhole);
-    } else if (!out) {
+    if (all || in >= least - WEIGHT_SLACK && (!out || near)) {
+      answer(scan, all && scan.wholeSoFar);
+    } else if (!out || possible < least - WEIGHT_SLACK) {
       giveUp(scan);
     }
   }
@@ -588,13 +512,11 @@
   private void answer(Scan scan, boolean whole) {
     host.answer(scan.id, whole);
     if (scan.grade.fetch > 0 && !scan.secondStep) {
-      scan.secondStep = true;
-      scan.firstWhole = whole;
-      scan.firstParts = scan.parts.size();
+      scan.beginSecondStep(whole);
       scan.parts.forEach(this::recallTrips);
-      return;
+    } else {
+      close(scan);
     }
-    close(scan);
   }
 
   /** Closes a scan at once: sent back where to ask again does no harm, else scrapped. */
@@ -602,7 +524,8 @@
     boolean harmless = scan.grade.repeats == Grade.Repeats.REISSUABLE
         || scan.parts.stream().allMatch(part -> part.mayHaveRunSince() == null);
     if (harmless) {
-      host.nack(scan.id, comeBackMost);
+      host.nack(scan.id, terms.flag("PolicyLimits.RetryAfter")
+          ? terms.span("PolicyLimits.MaxRetryAfterMs", Duration.ZERO) : Duration.ZERO);
     } else {
       host.scrap(scan.id);
     }
@@ -622,7 +545,7 @@
   }
 
   private void recallTrips(Part part) {
-    for (int i = 0; recalls && i < part.trips.size(); i++) {
+    for (int i = 0; terms.flag("PolicyLimits.Cancel") && i < part.trips.size(); i++) {
       if (part.trips.get(i).outcome == null) {
         host.recall(part.id, i);
       }
@@ -665,7 +588,7 @@
   private double pressure(Duration now) {
     double settled = turnedAway.sum(now);
     double pressed = settled;
-    for (Searcher searcher : searchers.values()) {
+    for (Searcher searcher : roster.all()) {
       // what one bad searcher or zone does is not the load's doing and must not narrow every scan
       if (searcher.benchedUntil == null) {
         settled += searcher.settled.sum(now);
@@ -686,14 +609,14 @@
       }
       coverage = moved;
     }
-    for (Searcher searcher : searchers.values()) {
+    for (Searcher searcher : roster.all()) {
       judge(searcher, now);
       // a searcher that answers nothing bears nothing: its time is not time of a warm one
       if (searcher.answers.sum(now) > 0 && !cold(searcher, now)) {
         warmTime.add(now, LOOK_ROUND.toNanos());
       }
       if (searcher.benchedUntil != null && searcher.benchedUntil.compareTo(now) <= 0 && !searcher.probing) {
-        if (probes && searcher.listing.standing() == Listing.Standing.READY) {
+        if (terms.flag("PolicyLimits.Probing") && searcher.ready()) {
           searcher.probing = true;
           host.probe(searcher.id);
         } else {
@@ -706,7 +629,7 @@
 
   /** A probe has come back. */
   public void probed(SearcherId id, Outcome outcome, Duration taken, float[] load) {
-    Searcher searcher = searchers.get(id);
+    Searcher searcher = roster.get(id);
     if (searcher == null || !searcher.probing) {
       return;
     }
@@ -727,14 +650,14 @@
 
   /** Judges a searcher by this mixer's own evidence: silence, errors, or slowness against its peers. */
   private void judge(Searcher searcher, Duration now) {
-    if (searcher.benchedUntil != null || searcher.listing.standing() != Listing.Standing.READY) {
+    if (searcher.benchedUntil != null || !searcher.ready()) {
       return;
     }
     double errors = searcher.errors.sum(now);
     Duration silence = max(SILENCE, Duration.ofNanos((long) (SILENCE_WAITS * usualWait(now))));
-    noteBusy(searcher, now);
-    // only time with own parts out counts, and only from the last word on: a busy searcher still answers now and then
-    // and a cold one takes its time
+    searcher.noteBusy(now);
+    // only time with own parts out counts, and only from the last word on: a busy searcher still answers
+    // now and then; and a cold one takes its time
     if (searcher.unheard.toNanos() > silence.toNanos() / warmth(searcher, now)) {
       bench(searcher, "silent");
     } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * (errors + searcher.answers.sum(now))) {
@@ -748,7 +671,7 @@
   private double usualWait(Duration now) {
     double waits = 0;
     double answers = 0;
-    for (Searcher searcher : searchers.values()) {
+    for (Searcher searcher : roster.all()) {
       waits += searcher.waits.sum(now);
       answers += searcher.answers.sum(now);
     }
@@ -756,7 +679,7 @@
   }
 
   private double middlePace(Duration now) {
-    double[] paces = searchers.values().stream()
+    double[] paces = roster.all().stream()
         .filter(other -> other.answers.sum(now) >= ANSWERS_LEAST)
         .mapToDouble(other -> pace(other, now).toNanos()).sorted().toArray();
     return paces[paces.length / 2];
@@ -784,41 +707,18 @@
   /** The roster has been told: all of it, or what changed. */
   public void rosterTold(List<Listing> lines, boolean all) {
     Duration now = host.now();
-    Map<SearcherId, Listing> told = new TreeMap<>();
-    lines.forEach(line -> told.put(line.searcher(), line));
-    for (Searcher searcher : searchers.values()) {
-      if (all && !told.containsKey(searcher.id)) {
-        Listing old = searcher.listing;
-        told.put(searcher.id, new Listing(searcher.id, old.zone(), old.machine(), old.cell(),
-            Listing.Standing.GONE, old.size(), old.startedAt()));
-      }
+    // what is out at a searcher that has gone, or has started anew, will not come back
+    for (Searcher searcher : roster.told(lines, all,
+        id -> new Searcher(id, HEALTH_WINDOW, PRESSURE_WINDOW, tipAfter, BUCKETS))) {
+      searcher.benchedUntil = null;
+      searcher.unheard = Duration.ZERO;
+      rescue(searcher, now);
     }
-    List<Searcher> lost = new ArrayList<>();
-    for (Listing line : told.values()) {
-      Searcher searcher = searchers.computeIfAbsent(line.searcher(),
-          id -> new Searcher(id, HEALTH_WINDOW, PRESSURE_WINDOW, tipAfter, BUCKETS));
-      boolean restarted = line.startedAt() != null && !line.startedAt().equals(searcher.startedAt)
-          && searcher.listing != null;
-      searcher.listing = line;
-      searcher.startedAt = line.startedAt() != null ? line.startedAt() : searcher.startedAt;
-      if (restarted) {
-        searcher.benchedUntil = null;
-        searcher.unheard = Duration.ZERO;
-      }
-      if (restarted || line.standing() == Listing.Standing.GONE) {
-        lost.add(searcher);
-      }
-    }
-    cells.clear();
-    for (Searcher searcher : searchers.values()) {
-      if (searcher.listing.standing() == Listing.Standing.READY) {
-        cells.computeIfAbsent(searcher.listing.cell(), cell -> new ArrayList<>()).add(searcher);
-      }
-    }
-    lost.forEach(searcher -> rescue(searcher, now));
   }
 
-  /** A call for the roster failed, or the subscription broke: ask again soon, not all mixers at one moment. */
+  /**
+   * A call for the roster failed, or the subscription broke: ask again soon, not all mixers at one moment.
+   */
   public void rosterFailed() {
     wakeAfter(ROSTER_RETRY.plusNanos(chance.nextLong(ROSTER_RETRY.toNanos())), () -> host.watchRoster(true));
   }
@@ -849,20 +749,4 @@
       host.log(line);
     }
   }
-
-  private static Duration millis(double ms) {
-    return Duration.ofNanos(Math.round(ms * 1e6));
-  }
-
-  private static Duration scale(Duration span, double times) {
-    return Duration.ofNanos((long) (span.toNanos() * times));
-  }
-
-  private static Duration min(Duration a, Duration b) {
-    return a.compareTo(b) < 0 ? a : b;
-  }
-
-  private static Duration max(Duration a, Duration b) {
-    return a.compareTo(b) > 0 ? a : b;
-  }
 }
--- a/src/main/java/gingerring/decide/Part.java
+++ b/src/main/java/gingerring/decide/Part.java
@@ -13,8 +13,6 @@
   public Scan scan;
   public final List<Trip> trips = new ArrayList<>();
   public boolean in;
-  /** Chosen by the selection: it is to be asked, or has been. */
-  public boolean asked;
   /** The end of the host's patience with this part was told: nothing may be sent for it. */
   public boolean over;
   public Searcher planned;
--- /dev/null
+++ b/src/main/java/gingerring/decide/Roster.java
@@ -0,0 +1,74 @@
+package gingerring.decide;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/** The searchers that a mixer has been told of, and which of them hold a shard. */
+public final class Roster {
+  private final int places;
+  private final int reach;
+  private final Map<SearcherId, Searcher> searchers = new TreeMap<>();
+  private final Map<Integer, List<Searcher>> cells = new HashMap<>();
+
+  public Roster(int places, int reach) {
+    if (places < 1) {
+      throw new IllegalArgumentException("setting Domain.Places is no number of cells: " + places);
+    }
+    this.places = places;
+    this.reach = reach;
+  }
+
+  public Searcher get(SearcherId id) {
+    return searchers.get(id);
+  }
+
+  /** All that were ever told of, in the order of their ids. */
+  public Collection<Searcher> all() {
+    return searchers.values();
+  }
+
+  /** Those ready that hold a shard, in the order of their cells and ids. */
+  public List<Searcher> holders(int shard) {
+    List<Searcher> holders = new ArrayList<>();
+    for (int j = 0; j < reach; j++) {
+      holders.addAll(cells.getOrDefault(Math.floorMod(shard + j, places), List.of()));
+    }
+    return holders;
+  }
+
+  /** Takes in a whole list or a change to it; returns those that have gone or have started anew. */
+  public List<Searcher> told(List<Listing> lines, boolean all, Function<SearcherId, Searcher> newcomer) {
+    Map<SearcherId, Listing> told = new TreeMap<>();
+    for (Searcher searcher : searchers.values()) {
+      if (all) {
+        Listing old = searcher.listing;
+        told.put(searcher.id, new Listing(searcher.id, old.zone(), old.machine(), old.cell(),
+            Listing.Standing.GONE, old.size(), old.startedAt()));
+      }
+    }
+    lines.forEach(line -> told.put(line.searcher(), line));
+    List<Searcher> lost = new ArrayList<>();
+    for (Listing line : told.values()) {
+      Searcher searcher = searchers.computeIfAbsent(line.searcher(), newcomer);
+      boolean restarted = searcher.listing != null && line.startedAt() != null
+          && !line.startedAt().equals(searcher.startedAt);
+      searcher.listing = line;
+      searcher.startedAt = line.startedAt() != null ? line.startedAt() : searcher.startedAt;
+      if (restarted || line.standing() == Listing.Standing.GONE) {
+        lost.add(searcher);
+      }
+    }
+    cells.clear();
+    for (Searcher searcher : searchers.values()) {
+      if (searcher.ready()) {
+        cells.computeIfAbsent(searcher.listing.cell(), cell -> new ArrayList<>()).add(searcher);
+      }
+    }
+    return lost;
+  }
+}
--- a/src/main/java/gingerring/decide/Scan.java
+++ b/src/main/java/gingerring/decide/Scan.java
@@ -10,26 +10,35 @@
   public final long number;
   public final Grade grade;
   public final long key;
-  public final boolean repeat;
   public final Duration work;
   /** When its client gives this try up. */
   public final Duration end;
   public final List<Part> parts = new ArrayList<>();
   /** By when its client is to have its answer. */
   public Duration quoted;
-  /** The first step's parts have been answered from, and the second step's are awaited or out. */
+  /** The first step has been answered from, and its parts are {@code firstParts}. */
   public boolean secondStep;
-  public boolean firstWhole;
   public int firstParts;
+  public boolean wholeSoFar = true;
   public boolean closed;
 
-  public Scan(ScanId id, long number, Grade grade, long key, boolean repeat, Duration work, Duration end) {
+  public Scan(ScanId id, long number, Grade grade, long key, Duration work, Duration end) {
     this.id = id;
     this.number = number;
     this.grade = grade;
     this.key = key;
-    this.repeat = repeat;
     this.work = work;
     this.end = end;
   }
+
+  /** The parts of the step in hand; none while the second step's have not come. */
+  public List<Part> step() {
+    return secondStep ? parts.subList(firstParts, parts.size()) : parts;
+  }
+
+  public void beginSecondStep(boolean whole) {
+    secondStep = true;
+    firstParts = parts.size();
+    wholeSoFar = whole;
+  }
 }
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -13,6 +13,7 @@
   public final Set<Trip> out = new LinkedHashSet<>();
   public int callsOut;
   public Trip.Call call;
+  public Duration lastSent;
   public int plannedParts;
   public Duration busySince;
   /** Time with own parts out since the last word from it. */
@@ -44,4 +45,59 @@
     pressed = new TimeRing(pressureWindow, buckets);
     sends = new TimeRing(coldWindow, buckets);
   }
+
+  public boolean ready() {
+    return listing.standing() == Listing.Standing.READY;
+  }
+
+  /** Books the time that own parts have been out. */
+  public void noteBusy(Duration now) {
+    if (busySince != null) {
+      Duration span = now.minus(busySince);
+      busy.add(now, span.toNanos());
+      held.add(now, (double) span.toNanos() * out.size());
+      unheard = unheard.plus(span);
+    }
+    busySince = out.isEmpty() ? null : now;
+  }
+
+  /** Books a part that is sent now; {@code callParts} parts of one moment share a call. */
+  public Trip send(Part part, Duration now, int callParts) {
+    noteBusy(now);
+    if (!callOpen(now, callParts)) {
+      call = new Trip.Call(now);
+      callsOut++;
+    }
+    call.parts++;
+    call.out++;
+    Trip trip = new Trip(part, this, now, call);
+    out.add(trip);
+    busySince = now;
+    lastSent = now;
+    sends.add(now, 1);
+    return trip;
+  }
+
+  /** Books a trip that has ended. */
+  public void end(Trip trip, Duration now) {
+    noteBusy(now);
+    out.remove(trip);
+    trip.call.out--;
+    if (trip.call.out == 0) {
+      callsOut--;
+    }
+    if (out.isEmpty()) {
+      busySince = null;
+    }
+  }
+
+  /** Own calls out, with those that planned parts would open. */
+  public int load(Duration now, int callParts) {
+    int joining = callOpen(now, callParts) ? Math.min(plannedParts, callParts - call.parts) : 0;
+    return callsOut + (plannedParts - joining + callParts - 1) / callParts;
+  }
+
+  private boolean callOpen(Duration now, int callParts) {
+    return call != null && call.made.equals(now) && call.parts < callParts;
+  }
 }
--- /dev/null
+++ b/src/main/java/gingerring/decide/Spans.java
@@ -0,0 +1,24 @@
+package gingerring.decide;
+
+import java.time.Duration;
+
+/** Arithmetic on spans of time. */
+final class Spans {
+  private Spans() {}
+
+  static Duration millis(double ms) {
+    return Duration.ofNanos(Math.round(ms * 1e6));
+  }
+
+  static Duration scale(Duration span, double times) {
+    return Duration.ofNanos((long) (span.toNanos() * times));
+  }
+
+  static Duration min(Duration a, Duration b) {
+    return a.compareTo(b) < 0 ? a : b;
+  }
+
+  static Duration max(Duration a, Duration b) {
+    return a.compareTo(b) > 0 ? a : b;
+  }
+}
--- a/src/main/java/gingerring/decide/Terms.java
+++ b/src/main/java/gingerring/decide/Terms.java
@@ -1,5 +1,6 @@
 package gingerring.decide;
 
+import java.time.Duration;
 import java.util.Map;
 
 /** Reads the values handed over at start; what is needed and missing or unreadable is named. */
@@ -24,6 +25,19 @@
     return (int) number(key);
   }
 
+  /** A time given in milliseconds. */
+  public Duration span(String key) {
+    return Spans.millis(number(key));
+  }
+
+  public Duration span(String key, Duration otherwise) {
+    return map.containsKey(key) ? span(key) : otherwise;
+  }
+
+  public boolean has(String key) {
+    return map.containsKey(key);
+  }
+
   public boolean flag(String key) {
     return Boolean.parseBoolean(map.get(key));
   }
--- a/src/main/java/gingerring/drill/Drill.java
+++ b/src/main/java/gingerring/drill/Drill.java
@@ -27,7 +27,10 @@
     this.out = out;
   }
 
-  /** Runs to the end of the input; says on {@code complaints} what was wrong, if anything, and returns the exit code. */
+  /**
+   * Runs to the end of the input and returns the exit code; what was wrong, if anything, goes to
+   * complaints.
+   */
   public int run(PrintStream complaints) throws IOException {
     try {
       while (batch()) {
@@ -46,7 +49,7 @@
       return false;
     }
     if (head.length < HEADER) {
-      throw new Malformed("input ended after " + head.length + " of the " + HEADER + " bytes of a batch's header");
+      throw new Malformed("input ended after " + head.length + " of " + HEADER + " bytes of a header");
     }
     ByteBuffer header = ByteBuffer.wrap(head).order(ByteOrder.LITTLE_ENDIAN);
     int number = header.getInt();
--- a/src/main/java/gingerring/drill/Records.java
+++ b/src/main/java/gingerring/drill/Records.java
@@ -157,7 +157,8 @@
 
   byte[] rest(long length) throws Drill.Malformed {
     if (length > end - bytes.position()) {
-      throw new Drill.Malformed(where() + ": " + length + " bytes claimed, " + (end - bytes.position()) + " left");
+      throw new Drill.Malformed(where() + ": " + length + " bytes claimed, "
+          + (end - bytes.position()) + " left");
     }
     byte[] rest = new byte[(int) length];
     bytes.get(rest);
@@ -171,7 +172,8 @@
   Page page() throws Drill.Malformed {
     long n = u32();
     if (n > (end - bytes.position()) / ENTRY) {
-      throw new Drill.Malformed(where() + ": " + n + " lines do not fit in " + (end - bytes.position()) + " bytes");
+      throw new Drill.Malformed(where() + ": " + n + " lines do not fit in "
+          + (end - bytes.position()) + " bytes");
     }
     List<Line> lines = new ArrayList<>();
     for (long i = 0; i < n; i++) {
--- a/src/main/java/gingerring/drill/Seat.java
+++ b/src/main/java/gingerring/drill/Seat.java
@@ -16,10 +16,9 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGeneratorFactory;
 
-/** The place of one instance: turns its events into calls of its mixer, and the mixer's calls into actions. */
+/** The place of one instance: its events become calls of its mixer, and the mixer's calls become actions. */
 final class Seat implements Host {
   private static final int COST_KNOWN = 1;
-  private static final int REPEAT = 2;
 
   private final int who;
   private final Replies replies;
@@ -47,8 +46,8 @@
       case Records.CREATE -> create(records.u64(), records.text());
       case Records.POWER_OFF -> mixer = null;
       case Records.DISCOVERY -> discovery(records, pages);
-      case Records.STREAMING, Records.FINISHED, Records.VANISHED, Records.TIMER, Records.HEALTH, Records.INBOX ->
-        tell(records);
+      case Records.STREAMING, Records.FINISHED, Records.VANISHED, Records.TIMER, Records.HEALTH,
+          Records.INBOX -> tell(records);
       default -> { }
     }
   }
@@ -119,8 +118,9 @@
     }
     List<Listing> lines = new ArrayList<>();
     for (Records.Line line : page.lines()) {
-      lines.add(new Listing(line.searcher(), line.zone(), line.machine(), line.cell(), line.standing(), line.size(),
-          line.startedMs() == 0 ? null : span(line.startedMs() - startMs)));
+      Duration started = line.startedMs() == 0 ? null : span(line.startedMs() - startMs);
+      lines.add(new Listing(line.searcher(), line.zone(), line.machine(), line.cell(), line.standing(),
+          line.size(), started));
     }
     decide(mixer -> mixer.rosterTold(lines, mode != 0));
   }
@@ -132,7 +132,7 @@
     int band = records.u8();
     double costMs = records.ms();
     long entity = records.u64();
-    int tenant = (int) records.u32();
+    records.u32();
     float amount = records.f32();
     double endMs = records.ms();
     float range = records.f32();
@@ -142,8 +142,7 @@
       List<Part> own = parts;
       arriving = number;
       Duration end = span(endMs - startMs);
-      arrival = mixer -> mixer.scanArrived(new ScanId(handle), number, band, tenant, entity, (opts & REPEAT) != 0,
-          work, end, own);
+      arrival = mixer -> mixer.scanArrived(new ScanId(handle), number, band, entity, work, end, own);
       return;
     }
     if (arrival == null || number != arriving) {
