Judge a searcher that is tried again by new evidence alone

Cause: errors from before its benching still stood in the window at re-entry and benched it again at once.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -641,10 +641,10 @@
     }
   }
 
-  /** Re-entry: one part at a time, until a few have been answered. */
+  /** Re-entry: one part at a time, until a few have been answered, and judged by new evidence alone. */
   private void tryAgain(Searcher searcher) {
     searcher.benchedUntil = null;
-    searcher.unheard = Duration.ZERO;
+    searcher.forget();
     searcher.trialsLeft = TRIALS;
   }
 
@@ -711,7 +711,7 @@
     for (Searcher searcher : roster.told(lines, all,
         id -> new Searcher(id, HEALTH_WINDOW, PRESSURE_WINDOW, tipAfter, BUCKETS))) {
       searcher.benchedUntil = null;
-      searcher.unheard = Duration.ZERO;
+      searcher.forget();
       rescue(searcher, now);
     }
   }
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /** A searcher as one mixer sees it: the roster's line, its own trips, and what came of them. */
@@ -50,6 +51,12 @@
     return listing.standing() == Listing.Standing.READY;
   }
 
+  /** Drops what was measured of it: it is to be judged anew. */
+  public void forget() {
+    unheard = Duration.ZERO;
+    List.of(busy, held, answers, waits, errors).forEach(TimeRing::clear);
+  }
+
   /** Books the time that own parts have been out. */
   public void noteBusy(Duration now) {
     if (busySince != null) {
--- a/src/main/java/gingerring/decide/TimeRing.java
+++ b/src/main/java/gingerring/decide/TimeRing.java
@@ -1,6 +1,7 @@
 package gingerring.decide;
 
 import java.time.Duration;
+import java.util.Arrays;
 
 /** Sums over the recent past, in fixed buckets of time that are used again in a ring. */
 public final class TimeRing {
@@ -34,6 +35,10 @@
     return sum(now) - sums[(int) Math.floorMod(newest + 1, (long) sums.length)];
   }
 
+  public void clear() {
+    Arrays.fill(sums, 0);
+  }
+
   private void turn(Duration now) {
     long bucket = Math.floorDiv(now.toNanos(), width);
     if (newest == Long.MIN_VALUE) {
