--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -355,7 +355,9 @@
     if (!cold(searcher, now)) {
       return true;
     }
-    double usual = warmAnswers.sum(now) * tipAfter.toNanos() / Math.max(1, warmTime.sum(now));
+    // a mixer that has not yet seen a full window of its searchers does not overrate them
+    double seen = Math.max(warmTime.sum(now), (double) tipAfter.toNanos() * roster.all().size());
+    double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
     // so many mixers that one part each were too much take longer turns
     double turn = Math.max(1, terms.number("FleetSize") / COLD_MIXERS);
     boolean itsTurn = searcher.lastSent == null
--- /dev/null
+++ b/src/test/java/gingerring/decide/MixerTest.java
@@ -0,0 +1,242 @@
+package gingerring.decide;
+
+import static gingerring.decide.Stage.line;
+import static gingerring.decide.Stage.ms;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+
+class MixerTest {
+  private static final String[] PARTIAL = {"Domain.ClassFloor", "0.4", "Domain.NeedByClass", "1"};
+
+  /** Fills the windows with quick answers, so that paces and the cold guard have something to go by. */
+  private static void warm(Stage stage, int scans) {
+    for (int i = 0; i < scans; i++) {
+      int first = stage.sent.size();
+      stage.scan(1000 + i, 0.25, 0.25, 0.25, 0.25);
+      stage.pass(50);
+      for (int j = first; j < first + 4; j++) {
+        stage.end(j, Outcome.SUCCEEDED);
+      }
+    }
+  }
+
+  @Test void underPressureSendsTheHeaviestPartsDownToTheFloorAndClimbsBack() {
+    Stage stage = new Stage(PARTIAL).fleet(4);
+    for (int second = 0; second < 8; second++) {
+      int first = stage.sent.size();
+      stage.scan(second, 0.1, 0.2, 0.5, 0.2);
+      for (int j = first; j < stage.sent.size(); j++) {
+        stage.end(j, Outcome.FULL);
+      }
+      stage.pass(1000);
+    }
+    int first = stage.sent.size();
+    stage.scan(50, 0.1, 0.2, 0.5, 0.2);
+    assertEquals(List.of(new PartId(5002)), stage.sent.subList(first, stage.sent.size()).stream()
+        .map(Stage.Sent::part).toList());
+    stage.end(first, Outcome.SUCCEEDED);
+    assertEquals("partial", stage.finals.get(new ScanId(50)));
+    stage.pass(13_000);
+    int later = stage.sent.size();
+    stage.scan(51, 0.1, 0.2, 0.5, 0.2);
+    assertEquals(4, stage.sent.size() - later);
+    for (int i = later; i < later + 4; i++) {
+      stage.end(i, Outcome.SUCCEEDED);
+    }
+    assertEquals("whole", stage.finals.get(new ScanId(51)));
+  }
+
+  @Test void choosesTheReplicaWithFewestOwnPartsOutAndTheSameHomeOnTies() {
+    Stage stage = new Stage().fleet(4);
+    stage.scan(1, 1);
+    stage.scan(2, 1);
+    assertNotEquals(stage.sent.get(0).searcher(), stage.sent.get(1).searcher());
+    stage.end(0, Outcome.SUCCEEDED);
+    stage.end(1, Outcome.SUCCEEDED);
+    stage.scan(1, 1);
+    assertEquals(stage.sent.get(0).searcher(), stage.sent.get(2).searcher());
+  }
+
+  @Test void answersPartiallyNearTheQuotedTimeAndNeverUnderTheFloor() {
+    Stage stage = new Stage(PARTIAL).fleet(4);
+    stage.scan(1, 0.5, 0.5);
+    stage.scan(2, 0.3, 0.7);
+    stage.end(0, Outcome.SUCCEEDED);
+    stage.end(2, Outcome.SUCCEEDED);
+    stage.pass(900);
+    assertEquals(Map.of(), stage.finals);
+    stage.pass(100);
+    assertEquals(Map.of(new ScanId(1), "partial", new ScanId(2), "nack"), stage.finals);
+  }
+
+  @Test void closesAScanAtOnceWhenItCanNoLongerBeAnswered() {
+    Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(4);
+    stage.scan(1, 0.5, 0.5);
+    stage.end(0, Outcome.ERROR);
+    assertEquals("nack", stage.finals.get(new ScanId(1)));
+    assertEquals(List.of(stage.sent.get(1).part()), stage.recalled);
+  }
+
+  @Test void scrapsWhatMayHaveRunAndMayNotRunAgain() {
+    Stage stage = new Stage("Classes.0.Idempotency", "at_most_once").fleet(4);
+    stage.scan(1, 1);
+    stage.end(0, Outcome.UNREACHABLE);
+    assertEquals(2, stage.sent.size());
+    stage.end(1, Outcome.BROKEN);
+    assertEquals(2, stage.sent.size());
+    assertEquals("scrap", stage.finals.get(new ScanId(1)));
+  }
+
+  @Test void silenceCountsOnlyTimeWithOwnPartsOutSinceTheLastWord() {
+    Stage stage = new Stage().fleet(4);
+    warm(stage, 10);
+    stage.pass(5000);
+    stage.scan(1, 1);
+    stage.pass(100);
+    stage.end(stage.sent.size() - 1, Outcome.SUCCEEDED);
+    assertEquals(List.of(), stage.logs);
+    stage.scan(2, 1);
+    stage.pass(850);
+    assertEquals(1, stage.logs.size());
+    assertTrue(stage.logs.get(0).endsWith("benched: silent"), stage.logs.get(0));
+  }
+
+  @Test void aPartOutAtASilentSearcherGetsACopyElsewhere() {
+    Stage stage = new Stage().fleet(4);
+    warm(stage, 10);
+    int first = stage.sent.size();
+    stage.scan(1, 1);
+    stage.pass(850);
+    assertEquals(2, stage.sent.size() - first);
+    assertNotEquals(stage.sent.get(first).searcher(), stage.sent.get(first + 1).searcher());
+    stage.end(first + 1, Outcome.SUCCEEDED);
+    assertEquals("whole", stage.finals.get(new ScanId(1)));
+  }
+
+  @Test void fastErrorsDoNotAttractParts() {
+    Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(4);
+    SearcherId bad = new SearcherId(1);
+    int toBad = 0;
+    for (int i = 0; i < 20; i++) {
+      int first = stage.sent.size();
+      stage.scan(i, 1);
+      boolean hit = stage.sent.get(first).searcher().equals(bad);
+      toBad += hit ? 1 : 0;
+      stage.end(first, hit ? Outcome.ERROR : Outcome.SUCCEEDED);
+      stage.pass(40);
+    }
+    assertEquals(2, toBad);
+  }
+
+  @Test void asksABenchedHolderWhereThereIsNoOther() {
+    Stage stage = new Stage("Domain.Reach", "1", "PolicyLimits.MaxAttempts", "1").fleet(4);
+    for (int i = 0; i < 4; i++) {
+      stage.scan(i, 1);
+      stage.end(i, Outcome.ERROR);
+    }
+    assertEquals(4, stage.sent.size());
+    assertEquals(1, stage.logs.size());
+  }
+
+  @Test void aSearcherTriedAgainIsJudgedByNewEvidence() {
+    Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(2);
+    for (int i = 0; stage.logs.isEmpty(); i++) {
+      stage.scan(i, 1);
+      stage.end(i, Outcome.ERROR);
+    }
+    stage.pass(2100);
+    assertEquals(1, stage.probes.size());
+    stage.mixer.probed(stage.probes.get(0), Outcome.SUCCEEDED, ms(1), new float[0]);
+    stage.pass(200);
+    assertEquals(1, stage.logs.size());
+  }
+
+  @Test void keepsNothingBackOnTheFirstFewAnswers() {
+    Stage stage = new Stage().fleet(4);
+    stage.scan(1, 0.5, 0.5);
+    stage.pass(600);
+    stage.end(0, Outcome.SUCCEEDED);
+    stage.scan(2, 0.25, 0.25, 0.25, 0.25);
+    assertEquals(6, stage.sent.size());
+  }
+
+  @Test void nacksAScanWhoseSearchersAreTooBusyToMakeIt() {
+    Stage stage = new Stage().fleet(4);
+    warm(stage, 10);
+    int scans = 0;
+    while (stage.finals.values().stream().noneMatch("nack"::equals) && scans < 200) {
+      stage.scan(scans++, 1);
+    }
+    assertTrue(scans > 4 && scans < 200, "after " + scans);
+  }
+
+  @Test void tellsALateRepeatByAnUnusualTimeLeftAlsoWhenTheLastTryBringsMore() {
+    Stage stage = new Stage().fleet(4);
+    for (int i = 0; i < 3; i++) {
+      arrive(stage, i, 2500);
+    }
+    arrive(stage, 10, 3700);
+    arrive(stage, 11, 2500);
+    arrive(stage, 12, 2900);
+    assertEquals(Map.of(new ScanId(12), "nack"), stage.finals);
+  }
+
+  private static void arrive(Stage stage, int id, long patience) {
+    stage.mixer.scanArrived(new ScanId(id), id, 0, 0, Duration.ZERO, stage.now.plus(ms(patience)),
+        List.of(new Part(new PartId(100L * id), 0, 1, 0)));
+  }
+
+  @Test void aWholeFleetThatStartsColdGetsWorkByWhatItBoreBefore() {
+    Stage stage = new Stage().fleet(4);
+    warm(stage, 200);
+    stage.pass(4000);
+    for (int i = 0; i < 4; i++) {
+      stage.mixer.rosterTold(List.of(line(i, i, Listing.Standing.READY, stage.now)), false);
+    }
+    int first = stage.sent.size();
+    for (int i = 0; i < 200; i++) {
+      stage.scan(5000 + i, 1);
+    }
+    int got = stage.sent.size() - first;
+    assertTrue(got > 4 && got < 60, "got " + got);
+  }
+
+  @Test void asksForTheRosterAgainAfterAFailure() {
+    Stage stage = new Stage("Discovery", "subscribe");
+    stage.mixer.rosterFailed();
+    assertEquals(1, stage.watches);
+    stage.pass(1001);
+    assertEquals(2, stage.watches);
+  }
+
+  @Test void namesASettingThatIsMissingOrUnreadable() {
+    Map<String, String> house = new HashMap<>(Stage.HOUSE);
+    house.remove("Domain.Reach");
+    Exception missing = assertThrows(IllegalArgumentException.class,
+        () -> new Mixer(house, RandomGeneratorFactory.getDefault().create(1), new Stage()));
+    assertTrue(missing.getMessage().contains("Domain.Reach"));
+    house.put("Domain.Reach", "two");
+    Exception unreadable = assertThrows(IllegalArgumentException.class,
+        () -> new Mixer(house, RandomGeneratorFactory.getDefault().create(1), new Stage()));
+    assertTrue(unreadable.getMessage().contains("Domain.Reach"));
+  }
+
+  @Test void aRingForgetsWhatIsOlderThanItsSpan() {
+    TimeRing ring = new TimeRing(ms(1000), 10);
+    ring.add(ms(50), 1);
+    ring.add(ms(950), 2);
+    assertEquals(3, ring.sum(ms(1000)));
+    assertEquals(2, ring.sumWithin(ms(1000)));
+    assertEquals(2, ring.sum(ms(1150)));
+    assertEquals(0, ring.sum(ms(9000)));
+  }
+}
--- /dev/null
+++ b/src/test/java/gingerring/decide/Stage.java
@@ -0,0 +1,140 @@
+package gingerring.decide;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** A host that keeps its own clock and writes down what its mixer does. */
+class Stage implements Host {
+  record Sent(PartId part, SearcherId searcher, Duration at, int number) {}
+
+  record Wake(Duration at, int order, WakeId id) {}
+
+  static final Map<String, String> HOUSE = ("Classes.count=1 Classes.0.AimMs=1000 Classes.0.HardLimitMs=4000 "
+      + "Classes.0.Idempotency=idempotent Discovery=automatic Domain.Places=4 Domain.Reach=2 FleetSize=2 "
+      + "PolicyLimits.MaxAttempts=3 PolicyLimits.SecondCopies=true PolicyLimits.Cancel=true "
+      + "PolicyLimits.Probing=true PolicyLimits.RetryAfter=true PolicyLimits.MaxRetryAfterMs=1000 "
+      + "Safety.ColdFrom=0.2 Safety.WarmUpMs=10000 Safety.TipAfterMs=2000 Safety.TipMultiple=3")
+      .transform(text -> Stream.of(text.split(" "))).map(pair -> pair.split("="))
+      .collect(Collectors.toMap(pair -> pair[0], pair -> pair[1]));
+
+  final List<Sent> sent = new ArrayList<>();
+  final Map<ScanId, String> finals = new LinkedHashMap<>();
+  final List<String> logs = new ArrayList<>();
+  final List<SearcherId> probes = new ArrayList<>();
+  final List<PartId> recalled = new ArrayList<>();
+  final PriorityQueue<Wake> wakes = new PriorityQueue<>(
+      Comparator.comparing(Wake::at).thenComparing(Wake::order));
+  final Mixer mixer;
+  Duration now = Duration.ZERO;
+  int watches;
+  private int order;
+
+  Stage(String... changes) {
+    Map<String, String> house = new HashMap<>(HOUSE);
+    for (int i = 0; i < changes.length; i += 2) {
+      house.put(changes[i], changes[i + 1]);
+    }
+    mixer = new Mixer(house, RandomGeneratorFactory.of("L64X128MixRandom").create(7), this);
+  }
+
+  static Duration ms(long ms) {
+    return Duration.ofMillis(ms);
+  }
+
+  static Listing line(int number, int cell, Listing.Standing standing, Duration startedAt) {
+    return new Listing(new SearcherId(number), 0, 0, cell, standing, 1, startedAt);
+  }
+
+  /** One warm searcher in each of so many cells, numbered as the cells. */
+  Stage fleet(int cells) {
+    List<Listing> lines = new ArrayList<>();
+    for (int i = 0; i < cells; i++) {
+      lines.add(line(i, i, Listing.Standing.READY, null));
+    }
+    mixer.rosterTold(lines, true);
+    return this;
+  }
+
+  /**
+   * A scan of the first grade with parts of these weights at shards 0, 1, 2 and on; parts are 100 * id +
+   * shard.
+   */
+  void scan(int id, double... weights) {
+    List<Part> parts = new ArrayList<>();
+    for (int i = 0; i < weights.length; i++) {
+      parts.add(new Part(new PartId(100L * id + i), i, weights[i], 0));
+    }
+    mixer.scanArrived(new ScanId(id), id, 0, 0, Duration.ZERO, now.plus(ms(4000)), parts);
+  }
+
+  void end(int sentNumber, Outcome outcome) {
+    Sent trip = sent.get(sentNumber);
+    mixer.tripEnded(trip.part, trip.number, outcome, false, new float[0]);
+  }
+
+  /** Lets time pass, calling the wakes that come due. */
+  void pass(long ms) {
+    Duration until = now.plus(ms(ms));
+    while (!wakes.isEmpty() && wakes.peek().at.compareTo(until) <= 0) {
+      Wake wake = wakes.poll();
+      now = wake.at.compareTo(now) > 0 ? wake.at : now;
+      mixer.woken(wake.id);
+    }
+    now = until;
+  }
+
+  @Override public Duration now() {
+    return now;
+  }
+
+  @Override public void send(PartId part, SearcherId searcher, Duration timeOut) {
+    sent.add(new Sent(part, searcher, now, (int) sent.stream().filter(s -> s.part.equals(part)).count()));
+  }
+
+  @Override public void recall(PartId part, int trip) {
+    recalled.add(part);
+  }
+
+  @Override public void answer(ScanId scan, boolean whole) {
+    finals.merge(scan, whole ? "whole" : "partial", (a, b) -> a + "+" + b);
+  }
+
+  @Override public void nack(ScanId scan, Duration comeBack) {
+    finals.merge(scan, "nack", (a, b) -> a + "+" + b);
+  }
+
+  @Override public void scrap(ScanId scan) {
+    finals.merge(scan, "scrap", (a, b) -> a + "+" + b);
+  }
+
+  @Override public void probe(SearcherId searcher) {
+    probes.add(searcher);
+  }
+
+  @Override public void closeIdle(SearcherId searcher) {}
+
+  @Override public void watchRoster(boolean on) {
+    watches++;
+  }
+
+  @Override public void fetchRoster() {}
+
+  @Override public void tell(int peer, byte[] bytes) {}
+
+  @Override public void wakeAfter(Duration span, WakeId wake) {
+    wakes.add(new Wake(now.plus(span), order++, wake));
+  }
+
+  @Override public void log(String line) {
+    logs.add(line);
+  }
+}
