Shed late repeats only under pressure, and never a known first try

Cause: clients whose patience is short from the first; their tries looked like last tries of old scans and were nacked on arrival. Told from a jam by the low waits, from bad searchers by no bad trips. Now the guess acts only under pressure, a marked site's unmarked scan is a first try, and a part counts as turned away only if its searchers could not make it in the full quoted time.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -114,11 +114,11 @@
   }
 
   /** A scan has come, with all its parts: the ordinary path. */
-  public void scanArrived(ScanId id, long number, int gradeNumber, long key, Duration work, Duration end,
-      List<Part> arrived) {
+  public void scanArrived(ScanId id, long number, int gradeNumber, long key, boolean repeat, Duration work,
+      Duration end, List<Part> arrived) {
     Duration now = host.now();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
-    scan.quoted = quotedEnd(scan, now);
+    scan.quoted = quotedEnd(scan, repeat, now);
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest, up to the coverage and never under the
     // floor
@@ -129,7 +129,8 @@
     for (Part part : selected) {
       if (plan(part, now)) {
         placed += part.weight;
-      } else if (roster.holders(part.shard).stream().anyMatch(this::trusted)) {
+      } else if (roster.holders(part.shard).stream()
+          .anyMatch(each -> trusted(each) && !inTime(each, scan.grade.quoted, now))) {
         late++;
       }
     }
@@ -184,12 +185,13 @@
   }
 
   /**
-   * Counted from the client's first try. Most tries are given up after one and the same time; a try that
-   * brings another one brings what is left of its client's patience, which tells how long ago the first try
-   * was. Guards against spending work on repeats whose quoted time has passed. It may misjudge a client of
-   * unusual patience.
+   * Counted from the client's first try. Most tries are given up after one and the same time; a try that brings
+   * another one brings what is left of its client's patience, which tells how long ago the first try was. Guards
+   * against spending work on repeats whose quoted time has passed. Clients whose patience is short from the first
+   * would be misjudged, so it acts only under pressure, when such work is at others' cost, and never on a scan
+   * that is known to be a first try.
    */
-  private Duration quotedEnd(Scan scan, Duration now) {
+  private Duration quotedEnd(Scan scan, boolean repeat, Duration now) {
     Grade grade = scan.grade;
     Duration left = scan.end.minus(now);
     boolean usual = Math.abs(left.minus(grade.usualTry).toNanos()) <= USUAL_TRY * grade.usualTry.toNanos();
@@ -200,7 +202,9 @@
       grade.usualVotes = 1;
       usual = true;
     }
-    Duration spent = usual ? Duration.ZERO : max(Duration.ZERO, grade.patience.minus(left));
+    boolean first = usual || !repeat && terms.flag("ClientHabits.MarksRetry")
+        || pressure(now) <= PRESSURE_BOUND;
+    Duration spent = first ? Duration.ZERO : max(Duration.ZERO, grade.patience.minus(left));
     Duration stretch = scale(scan.work, grade.quotedStretch);
     return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
   }
@@ -251,7 +255,7 @@
       Searcher searcher = holders.get((home + i) % holders.size());
       boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
       if (!tried && (benched || usable(searcher)) && coldRoom(searcher, now)
-          && stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos()
+          && inTime(searcher, left, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
       }
@@ -273,6 +277,10 @@
     return (int) Math.floorMod(hash ^ (hash >>> 32), (long) holders);
   }
 
+  private boolean inTime(Searcher searcher, Duration left, Duration now) {
+    return stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos();
+  }
+
   /**
    * How long a part sent now would stay: what parts stayed there of late, and for each own part out beyond
    * the usual number a share of the pace, since other mixers' parts stand in the same line and do not grow
--- a/src/main/java/gingerring/drill/Seat.java
+++ b/src/main/java/gingerring/drill/Seat.java
@@ -19,6 +19,7 @@
 /** The place of one instance: its events become calls of its mixer, and the mixer's calls become actions. */
 final class Seat implements Host {
   private static final int COST_KNOWN = 1;
+  private static final int REPEAT = 2;
 
   private final int who;
   private final Replies replies;
@@ -142,7 +143,8 @@
       List<Part> own = parts;
       arriving = number;
       Duration end = span(endMs - startMs);
-      arrival = mixer -> mixer.scanArrived(new ScanId(handle), number, band, entity, work, end, own);
+      arrival = mixer -> mixer.scanArrived(new ScanId(handle), number, band, entity,
+          (opts & REPEAT) != 0, work, end, own);
       return;
     }
     if (arrival == null || number != arriving) {
