--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -58,11 +58,11 @@
   private static final double BENCHED_MOST = 0.5;
   /** Own ration of further trips, beside any that the rules set: so many, and so many for each first trip. */
   private static final double EXTRA_FEW = 2;
-  private static final double COPY_SHARE = 0.1;
-  private static final double AGAIN_SHARE = 0.4;
+  private static final double EXTRA_SHARE = 0.1;
   /** How near a try's time must come to the usual one to be of it, and how many tries outvote that. */
   private static final double USUAL_TRY = 0.01;
   private static final int USUAL_VOTES = 20;
+  private static final double LATE_SHED = 0.03;
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
@@ -204,7 +204,7 @@
       usual = true;
     }
     boolean first = usual || !repeat && terms.flag("ClientHabits.MarksRetry")
-        || pressure(now) <= PRESSURE_BOUND;
+        || pressure(now) <= LATE_SHED;
     Duration spent = first ? Duration.ZERO : max(Duration.ZERO, grade.patience.minus(left));
     Duration stretch = scale(scan.work, grade.quotedStretch);
     return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
@@ -457,7 +457,7 @@
 
   /** Another trip for a part, if rules, ration and time allow one and some other searcher can do it. */
   private void sendAgain(Part part, Duration now) {
-    if (mayGoAgain(part, now) && withinRation(part, now) && plan(part, now)) {
+    if (mayGoAgain(part, now) && withinRation(now) && plan(part, now)) {
       extras.add(now, 1);
       rationExtras.add(now, 1);
       send(part, now);
@@ -485,13 +485,12 @@
   }
 
   /**
-   * Further trips feed a jam, so their number follows that of first trips, and no copy goes out under
-   * pressure. A trip that failed has freed its place, so another in its stead gets a larger ration.
+   * Further trips feed a jam, so their number follows that of first trips, and none goes out under
+   * pressure.
    */
-  private boolean withinRation(Part part, Duration now) {
-    double share = part.out() ? COPY_SHARE : AGAIN_SHARE;
-    return extras.sum(now) + 1 <= EXTRA_FEW + share * firsts.sum(now)
-        && (!part.out() || pressure(now) <= PRESSURE_BOUND);
+  private boolean withinRation(Duration now) {
+    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now)
+        && pressure(now) <= PRESSURE_BOUND;
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
