Tell silence by the usual span between a searcher's answers

Cause: by mean waits, searchers of a busy fleet that answer this mixer now and then were benched as silent. One measure less.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -37,12 +37,9 @@
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
   private static final Duration LOOK_ROUND = Duration.ofMillis(100);
-  /**
-   * No word for this long, and for this many usual waits, is silence: longer than pauses of healthy
-   * searchers.
-   */
+  /** No word for this long, and for this many usual spans between answers, is silence and no mere pause. */
   private static final Duration SILENCE = Duration.ofMillis(700);
-  private static final double SILENCE_WAITS = 3;
+  private static final double SILENCE_PACES = 6;
   private static final double ERROR_SHARE = 0.4;
   private static final double ERRORS_LEAST = 2;
   /** So many times the pace of the middle peer is slow. */
@@ -425,7 +422,6 @@
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
         warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
-        searcher.waits.add(now, now.minus(trip.sent).toNanos());
         searcher.unheard = Duration.ZERO;
         searcher.settled.add(now, trip.judgedLate ? 0 : 1);
         if (searcher.trialsLeft > 0) {
@@ -665,11 +661,11 @@
       return;
     }
     double errors = searcher.errors.sum(now);
-    Duration silence = max(SILENCE, Duration.ofNanos((long) (SILENCE_WAITS * usualWait(now))));
+    double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * fleetPace(now));
     searcher.noteBusy(now);
     // only time with own parts out counts, and only from the last word on: a busy searcher still answers
     // now and then; and a cold one takes its time
-    if (searcher.unheard.toNanos() > silence.toNanos() / warmth(searcher, now)) {
+    if (searcher.unheard.toNanos() > silence / warmth(searcher, now)) {
       bench(searcher, "silent");
     } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * (errors + searcher.answers.sum(now))) {
       bench(searcher, "errors");
@@ -679,16 +675,6 @@
     }
   }
 
-  private double usualWait(Duration now) {
-    double waits = 0;
-    double answers = 0;
-    for (Searcher searcher : roster.all()) {
-      waits += searcher.waits.sum(now);
-      answers += searcher.answers.sum(now);
-    }
-    return answers == 0 ? 0 : waits / answers;
-  }
-
   private double middlePace(Duration now) {
     double[] paces = roster.all().stream()
         .filter(other -> other.answers.sum(now) >= ANSWERS_LEAST)
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -23,7 +23,6 @@
   public final TimeRing busy;
   public final TimeRing held;
   public final TimeRing answers;
-  public final TimeRing waits;
   public final TimeRing errors;
   public final TimeRing sends;
   /** Own parts that came to an end here, and those of them that were refused as full or timed out. */
@@ -40,7 +39,6 @@
     busy = new TimeRing(window, buckets);
     held = new TimeRing(window, buckets);
     answers = new TimeRing(window, buckets);
-    waits = new TimeRing(window, buckets);
     errors = new TimeRing(window, buckets);
     settled = new TimeRing(pressureWindow, buckets);
     pressed = new TimeRing(pressureWindow, buckets);
@@ -54,7 +52,7 @@
   /** Drops what was measured of it: it is to be judged anew. */
   public void forget() {
     unheard = Duration.ZERO;
-    List.of(busy, held, answers, waits, errors).forEach(TimeRing::clear);
+    List.of(busy, held, answers, errors).forEach(TimeRing::clear);
   }
 
   /** Books the time that own parts have been out. */
