--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -311,7 +311,8 @@
       double busy = 0;
       double answers = 0;
       for (Searcher searcher : roster.all()) {
-        busy += searcher.busy.sum(now);
+        // the wait for a word that may never come is no part of the pace at which words come
+        busy += Math.max(0, searcher.busy.sum(now) - searcher.unheard.toNanos());
         answers += searcher.answers.sum(now);
       }
       fleetPaceAt = now;
