Tell silence by spans between answers that have ended

Cause: a lost zone's unending waits stretched the fleet's usual span and with it the time to tell silence, to four seconds.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -311,8 +311,7 @@
       double busy = 0;
       double answers = 0;
       for (Searcher searcher : roster.all()) {
-        // the wait for a word that may never come is no part of the pace at which words come
-        busy += Math.max(0, searcher.busy.sum(now) - searcher.unheard.toNanos());
+        busy += searcher.busy.sum(now);
         answers += searcher.answers.sum(now);
       }
       fleetPaceAt = now;
@@ -662,7 +661,7 @@
       return;
     }
     double errors = searcher.errors.sum(now);
-    double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * fleetPace(now));
+    double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * usualGap(now));
     searcher.noteBusy(now);
     // only time with own parts out counts, and only from the last word on: a busy searcher still answers
     // now and then; and a cold one takes its time
@@ -676,6 +675,17 @@
     }
   }
 
+  /** The span between answers to this mixer; waits that have not ended, and may never, are left out. */
+  private double usualGap(Duration now) {
+    double gaps = 0;
+    double answers = 0;
+    for (Searcher searcher : roster.all()) {
+      gaps += Math.max(0, searcher.busy.sum(now) - searcher.unheard.toNanos());
+      answers += searcher.answers.sum(now);
+    }
+    return gaps / Math.max(1, answers);
+  }
+
   private double middlePace(Duration now) {
     double[] paces = roster.all().stream()
         .filter(other -> other.answers.sum(now) >= ANSWERS_LEAST)
