A part's expected stay may take 0.65 of the time left, from 0.8

Cause: parts accepted at 0.8 leave nothing for the scatter of work and pauses, and a scan is as late as its latest part.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -29,12 +29,10 @@
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
-  /** A part out for this share of the time to the quoted time has timed out: soon enough to act on it. */
-  private static final double TIME_OUT_SHARE = 0.6;
   /**
    * The share of the time left that a part's expected stay may take: stays scatter about what is expected.
    */
-  private static final double STAY_SHARE = 0.8;
+  private static final double STAY_SHARE = 0.65;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
@@ -150,7 +148,6 @@
     }
     // it ends when its trips have, at the latest near its quoted time for what can be partial, or at its
     // patience
-    wakeAt(now.plus(scale(scan.quoted.minus(now), TIME_OUT_SHARE)), () -> timeOut(scan));
     wakeAt(scan.quoted.minus(ANSWER_MARGIN), () -> settle(scan));
     wakeAt(scan.quoted, () -> quotedPassed(scan));
     wakeAt(scan.end.minus(CLOSE_MARGIN), () -> patienceEnds(scan));
@@ -562,18 +559,15 @@
     }
   }
 
-  /** Counts the parts still out as timed out; their answers stay welcome. */
-  private void timeOut(Scan scan) {
-    if (!scan.closed) {
-      Duration now = host.now();
-      for (Part part : scan.parts) {
-        part.trips.stream().filter(trip -> trip.outcome == null).forEach(trip -> pressed(trip, now));
-      }
-    }
-  }
-
   private void quotedPassed(Scan scan) {
-    if (!scan.closed && scan.grade.lateShare == 0) {
+    if (scan.closed) {
+      return;
+    }
+    Duration now = host.now();
+    for (Part part : scan.parts) {
+      part.trips.stream().filter(trip -> trip.outcome == null).forEach(trip -> pressed(trip, now));
+    }
+    if (scan.grade.lateShare == 0) {
       giveUp(scan);
     }
   }
