--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -32,7 +32,7 @@
   /**
    * The share of the time left that a part's expected stay may take: stays scatter about what is expected.
    */
-  private static final double STAY_SHARE = 0.65;
+  private static final double STAY_SHARE = 0.5;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
