--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -32,7 +32,7 @@
   /**
    * The share of the time left that a part's expected stay may take: stays scatter about what is expected.
    */
-  private static final double STAY_SHARE = 0.65;
+  private static final double STAY_SHARE = 0.5;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
@@ -60,8 +60,6 @@
   private static final double USUAL_TRY = 0.01;
   private static final int USUAL_VOTES = 20;
   private static final double LATE_SHED = 0.03;
-  private static final double COME_BACK_LEFT = 0.5;
-  private static final double COME_BACK_SHARE = 0.25;
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
@@ -533,23 +531,14 @@
     boolean harmless = scan.grade.repeats == Grade.Repeats.REISSUABLE
         || scan.parts.stream().allMatch(part -> part.mayHaveRunSince() == null);
     if (harmless) {
-      host.nack(scan.id, comeBack(scan));
+      host.nack(scan.id, terms.flag("PolicyLimits.RetryAfter")
+          ? terms.span("PolicyLimits.MaxRetryAfterMs", Duration.ZERO) : Duration.ZERO);
     } else {
       host.scrap(scan.id);
     }
     close(scan);
   }
 
-  /** Soon, while the quoted time leaves room for another try; else as late as the house allows. */
-  private Duration comeBack(Scan scan) {
-    if (!terms.flag("PolicyLimits.RetryAfter")) {
-      return Duration.ZERO;
-    }
-    Duration most = terms.span("PolicyLimits.MaxRetryAfterMs", Duration.ZERO);
-    Duration left = scan.quoted.minus(host.now());
-    return left.compareTo(scale(scan.grade.quoted, COME_BACK_LEFT)) < 0 ? most : min(most, scale(left, COME_BACK_SHARE));
-  }
-
   private void close(Scan scan) {
     scan.closed = true;
     scans.remove(scan.id);
