Book no time in which the mixer itself stood still

Cause: the mixers stand still for one to three seconds, and the gap was booked as the searchers' silence and slow pace. Told from silent searchers by all being benched in one instant at every mixer, with no bad trips; a log of the gaps between look rounds showed them. Now an event after a gap of more than two look rounds books none of it. It also serves a suspended machine.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -32,11 +32,13 @@
   /**
    * The share of the time left that a part's expected stay may take: stays scatter about what is expected.
    */
-  private static final double STAY_SHARE = 0.5;
+  private static final double STAY_SHARE = 0.65;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
   private static final Duration LOOK_ROUND = Duration.ofMillis(100);
+  /** So many rounds without one: the mixer itself stood still. */
+  private static final double STOOD_STILL = 2;
   /** No word for this long, and for this many usual spans between answers, is silence and no mere pause. */
   private static final Duration SILENCE = Duration.ofMillis(700);
   private static final double SILENCE_PACES = 6;
@@ -92,6 +94,7 @@
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private double coverage = 1;
   private Duration coverageMoved = Duration.ZERO;
+  private Duration lastEvent = Duration.ZERO;
 
   public Mixer(Map<String, String> map, RandomGenerator chance, Host host) {
     this.host = host;
@@ -114,7 +117,7 @@
   /** A scan has come, with all its parts: the ordinary path. */
   public void scanArrived(ScanId id, long number, int gradeNumber, long key, boolean repeat, Duration work,
       Duration end, List<Part> arrived) {
-    Duration now = host.now();
+    Duration now = arriving();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
     scan.quoted = quotedEnd(scan, repeat, now);
     hold(scan, arrived, now);
@@ -155,7 +158,7 @@
 
   /** The parts of the second step have come: all are needed, so all are sent. */
   public void secondStepArrived(long number, List<Part> arrived) {
-    Duration now = host.now();
+    Duration now = arriving();
     Scan scan = scansByNumber.get(number);
     if (scan == null) {
       return;
@@ -183,11 +186,11 @@
   }
 
   /**
-   * Counted from the client's first try. Most tries are given up after one and the same time; a try that brings
-   * another one brings what is left of its client's patience, which tells how long ago the first try was. Guards
-   * against spending work on repeats whose quoted time has passed. Clients whose patience is short from the first
-   * would be misjudged, so it acts only under pressure, when such work is at others' cost, and never on a scan
-   * that is known to be a first try.
+   * Counted from the client's first try. Most tries are given up after one and the same time; a try that
+   * brings another one brings what is left of its client's patience, which tells how long ago the first try
+   * was. Guards against spending work on repeats whose quoted time has passed. Clients whose patience is
+   * short from the first would be misjudged, so it acts only under pressure, when such work is at others'
+   * cost, and never on a scan that is known to be a first try.
    */
   private Duration quotedEnd(Scan scan, boolean repeat, Duration now) {
     Grade grade = scan.grade;
@@ -394,7 +397,7 @@
     if (part == null || number >= part.trips.size() || part.trips.get(number).outcome != null) {
       return;
     }
-    Duration now = host.now();
+    Duration now = arriving();
     Trip trip = part.trips.get(number);
     trip.outcome = outcome;
     part.over |= over;
@@ -592,6 +595,20 @@
     // no decision hangs on it: the trip ends by its outcome like any other
   }
 
+  /**
+   * The time of an event that comes in. A look round is due so often that a longer gap shows that this
+   * mixer itself stood still: that time is no silence of the searchers' and no pace of theirs. Guards
+   * against pauses of the process and of its machine; hurts nothing while rounds come on time.
+   */
+  private Duration arriving() {
+    Duration now = host.now();
+    if (now.minus(lastEvent).compareTo(scale(LOOK_ROUND, STOOD_STILL)) > 0) {
+      roster.all().forEach(searcher -> searcher.skipTo(now));
+    }
+    lastEvent = now;
+    return now;
+  }
+
   private double pressure(Duration now) {
     double settled = turnedAway.sum(now);
     double pressed = settled;
@@ -714,7 +731,7 @@
 
   /** The roster has been told: all of it, or what changed. */
   public void rosterTold(List<Listing> lines, boolean all) {
-    Duration now = host.now();
+    Duration now = arriving();
     // what is out at a searcher that has gone, or has started anew, will not come back
     for (Searcher searcher : roster.told(lines, all,
         id -> new Searcher(id, HEALTH_WINDOW, PRESSURE_WINDOW, tipAfter, BUCKETS))) {
@@ -736,6 +753,7 @@
   }
 
   public void woken(WakeId id) {
+    arriving();
     Runnable wake = wakes.remove(id);
     if (wake != null) {
       wake.run();
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -55,6 +55,11 @@
     List.of(busy, held, answers, errors).forEach(TimeRing::clear);
   }
 
+  /** Leaves the time up to now out of what is measured. */
+  public void skipTo(Duration now) {
+    busySince = out.isEmpty() ? null : now;
+  }
+
   /** Books the time that own parts have been out. */
   public void noteBusy(Duration now) {
     if (busySince != null) {
--- a/src/test/java/gingerring/decide/MixerTest.java
+++ b/src/test/java/gingerring/decide/MixerTest.java
@@ -110,6 +110,15 @@
     assertTrue(stage.logs.get(0).endsWith("benched: silent"), stage.logs.get(0));
   }
 
+  @Test void timeInWhichTheMixerStoodStillIsNoSilence() {
+    Stage stage = new Stage().fleet(4);
+    warm(stage, 10);
+    stage.scan(1, 1);
+    stage.now = stage.now.plus(ms(900));
+    stage.pass(0);
+    assertEquals(List.of(), stage.logs);
+  }
+
   @Test void aPartOutAtASilentSearcherGetsACopyElsewhere() {
     Stage stage = new Stage().fleet(4);
     warm(stage, 10);
