--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -61,7 +61,6 @@
   /** How near a try's time must come to the usual one to be of it, and how many tries outvote that. */
   private static final double USUAL_TRY = 0.01;
   private static final int USUAL_VOTES = 20;
-  private static final double LATE_SHED = 0.03;
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
@@ -204,7 +203,7 @@
       usual = true;
     }
     boolean first = usual || !repeat && terms.flag("ClientHabits.MarksRetry")
-        || pressure(now) <= LATE_SHED;
+        || pressure(now) <= PRESSURE_BOUND;
     Duration spent = first ? Duration.ZERO : max(Duration.ZERO, grade.patience.minus(left));
     Duration stretch = scale(scan.work, grade.quotedStretch);
     return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
