Drop benching for slowness and the trust in all when most are benched

The gate on expected stays answers slowness and the fallback to benched holders answers a fleet that looks bad as a whole; two overlapping defences fewer.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -44,17 +44,12 @@
   private static final double SILENCE_PACES = 6;
   private static final double ERROR_SHARE = 0.4;
   private static final double ERRORS_LEAST = 2;
-  /** So many times the pace of the middle peer is slow. */
-  private static final double SLOW_TIMES = 3;
-  private static final double ANSWERS_LEAST = 3;
   private static final double ANSWERS_LENT = 3;
   private static final double ANSWERS_TELLING = 10;
   private static final double OWN_SHARE = 0.5;
   private static final Duration BENCH_LEAST = Duration.ofSeconds(2);
   private static final Duration BENCH_MOST = Duration.ofSeconds(8);
   private static final int TRIALS = 3;
-  /** With more than this share of the fleet benched the fault is not the searchers': then none is avoided. */
-  private static final double BENCHED_MOST = 0.5;
   /** Own ration of further trips, beside any that the rules set: so many, and so many for each first trip. */
   private static final double EXTRA_FEW = 2;
   private static final double EXTRA_SHARE = 0.1;
@@ -331,19 +326,13 @@
     return (int) terms.number("Domain.Batch", 1);
   }
 
-  private boolean trusted(Searcher searcher) {
-    return searcher.ready() && (searcher.benchedUntil == null || panic());
+  private static boolean trusted(Searcher searcher) {
+    return searcher.ready() && searcher.benchedUntil == null;
   }
 
-  private boolean usable(Searcher searcher) {
-    boolean trialOver = searcher.trialsLeft == 0 || searcher.out.isEmpty() && searcher.plannedParts == 0;
-    return trusted(searcher) && (trialOver || panic());
-  }
-
-  private boolean panic() {
-    long ready = roster.all().stream().filter(Searcher::ready).count();
-    long benched = roster.all().stream().filter(each -> each.ready() && each.benchedUntil != null).count();
-    return benched > BENCHED_MOST * ready;
+  private static boolean usable(Searcher searcher) {
+    boolean free = searcher.out.isEmpty() && searcher.plannedParts == 0;
+    return trusted(searcher) && (searcher.trialsLeft == 0 || free);
   }
 
   private boolean cold(Searcher searcher, Duration now) {
@@ -671,7 +660,7 @@
     searcher.trialsLeft = TRIALS;
   }
 
-  /** Judges a searcher by this mixer's own evidence: silence, errors, or slowness against its peers. */
+  /** Judges a searcher by this mixer's own evidence: silence or errors. Slowness the gate on stays meets. */
   private void judge(Searcher searcher, Duration now) {
     if (searcher.benchedUntil != null || !searcher.ready()) {
       return;
@@ -685,9 +674,6 @@
       bench(searcher, "silent");
     } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * (errors + searcher.answers.sum(now))) {
       bench(searcher, "errors");
-    } else if (searcher.answers.sum(now) >= ANSWERS_LEAST && !cold(searcher, now)
-        && pace(searcher, now).toNanos() > SLOW_TIMES * middlePace(now)) {
-      bench(searcher, "slow");
     }
   }
 
@@ -702,13 +688,6 @@
     return gaps / Math.max(1, answers);
   }
 
-  private double middlePace(Duration now) {
-    double[] paces = roster.all().stream()
-        .filter(other -> other.answers.sum(now) >= ANSWERS_LEAST)
-        .mapToDouble(other -> pace(other, now).toNanos()).sorted().toArray();
-    return paces[paces.length / 2];
-  }
-
   private void bench(Searcher searcher, String why) {
     Duration now = host.now();
     boolean again = searcher.benchSpan != null && (searcher.benchedUntil != null || searcher.trialsLeft > 0);
