--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -42,11 +42,15 @@
   /** No word for this long, and for this many usual spans between answers, is silence and no mere pause. */
   private static final Duration SILENCE = Duration.ofMillis(700);
   private static final double SILENCE_PACES = 6;
-  private static final double ERROR_SHARE = 0.4;
+  /** So many errors, and so large a share of all ends, are more than a healthy searcher makes by chance. */
   private static final double ERRORS_LEAST = 2;
-  private static final double ANSWERS_LENT = 3;
+  private static final double ERROR_SHARE = 0.4;
+  /** The fleet's pace counts in each searcher's as so many answers, once so many tell it. */
+  private static final double ANSWERS_LENT = 6;
   private static final double ANSWERS_TELLING = 10;
+  /** How much of a pace a further own part adds to a line that it shares with others' parts. */
   private static final double OWN_SHARE = 0.5;
+  /** A bench lasts some seconds, doubled each time in a row, and ends in so many parts one at a time. */
   private static final Duration BENCH_LEAST = Duration.ofSeconds(2);
   private static final Duration BENCH_MOST = Duration.ofSeconds(8);
   private static final int TRIALS = 3;
@@ -56,10 +60,13 @@
   /** How near a try's time must come to the usual one to be of it, and how many tries outvote that. */
   private static final double USUAL_TRY = 0.01;
   private static final int USUAL_VOTES = 20;
+  /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
+  /** How soon the roster is asked again after a failure, and as much again by chance. */
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
+  /** How far weights may sum up short for their rounding. */
   private static final double WEIGHT_SLACK = 0.00005;
   private static final int LOG_LINES = 60;
 
