--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -292,7 +292,7 @@
     Duration pace = pace(searcher, now);
     double out = searcher.out.size() + searcher.plannedParts + 1;
     double usual = Math.max(1, searcher.held.sum(now) / Math.max(1, searcher.busy.sum(now)));
-    return scale(pace, out <= usual ? out : usual + OWN_SHARE * (out - usual));
+    return Duration.ofNanos((long) (pace.toNanos() * (usual + OWN_SHARE * (out - usual))));
   }
 
   /**
