--- a/src/test/java/gingerring/decide/MixerTest.java
+++ b/src/test/java/gingerring/decide/MixerTest.java
@@ -106,8 +106,7 @@
     assertEquals(List.of(), stage.logs);
     stage.scan(2, 1);
     stage.pass(850);
-    assertEquals(1, stage.logs.size());
-    assertTrue(stage.logs.get(0).endsWith("benched: silent"), stage.logs.get(0));
+    assertTrue(stage.logs.size() == 1 && stage.logs.get(0).endsWith("benched: silent"), "" + stage.logs);
   }
 
   @Test void timeInWhichTheMixerStoodStillIsNoSilence() {
@@ -133,12 +132,11 @@
 
   @Test void fastErrorsDoNotAttractParts() {
     Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(4);
-    SearcherId bad = new SearcherId(1);
     int toBad = 0;
     for (int i = 0; i < 20; i++) {
       int first = stage.sent.size();
       stage.scan(i, 1);
-      boolean hit = stage.sent.get(first).searcher().equals(bad);
+      boolean hit = stage.sent.get(first).searcher().equals(new SearcherId(1));
       toBad += hit ? 1 : 0;
       stage.end(first, hit ? Outcome.ERROR : Outcome.SUCCEEDED);
       stage.pass(40);
--- a/src/test/java/gingerring/decide/RulesTest.java
+++ b/src/test/java/gingerring/decide/RulesTest.java
@@ -127,9 +127,8 @@
     }
 
     @Override public void nack(ScanId scan, Duration comeBack) {
-      int grade = asked.get(scan).grade;
       boolean ran = trips.stream().anyMatch(trip -> scanOf.get(trip.part).equals(scan) && mayHaveRun(trip));
-      check(grade != 2 || !ran, "nack of what may have run");
+      check(asked.get(scan).grade != 2 || !ran, "nack of what may have run");
       over(scan);
       super.nack(scan, comeBack);
     }
@@ -165,12 +164,10 @@
           "Safety.ResendRatio", "0.2"));
     }
     Model day = new Model(copies, budget, house.toArray(String[]::new));
-    List<Listing> lines = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
-      lines.add(Stage.line(i, i % 4, Listing.Standing.READY, random.nextInt(4) == 0 ? ms(-500) : null));
+      day.told.put(i, Stage.line(i, i % 4, Listing.Standing.READY, random.nextInt(4) == 0 ? ms(-500) : null));
     }
-    lines.forEach(line -> day.told.put((int) line.searcher().address(), line));
-    day.mixer.rosterTold(lines, true);
+    day.mixer.rosterTold(List.copyOf(day.told.values()), true);
     for (int step = 0; step < 250; step++) {
       act(day, random, step);
       day.pass(random.nextInt(8) == 0 ? random.nextInt(600) : random.nextInt(40));
--- a/src/test/java/gingerring/decide/Stage.java
+++ b/src/test/java/gingerring/decide/Stage.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.random.RandomGeneratorFactory;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** A host that keeps its own clock and writes down what its mixer does. */
@@ -56,11 +57,8 @@
 
   /** One warm searcher in each of so many cells, numbered as the cells. */
   Stage fleet(int cells) {
-    List<Listing> lines = new ArrayList<>();
-    for (int i = 0; i < cells; i++) {
-      lines.add(line(i, i, Listing.Standing.READY, null));
-    }
-    mixer.rosterTold(lines, true);
+    mixer.rosterTold(IntStream.range(0, cells).mapToObj(
+        i -> line(i, i, Listing.Standing.READY, null)).toList(), true);
     return this;
   }
 
@@ -76,8 +74,8 @@
     mixer.scanArrived(new ScanId(id), id, 0, 0, false, Duration.ZERO, now.plus(ms(4000)), parts);
   }
 
-  void end(int sentNumber, Outcome outcome) {
-    Sent trip = sent.get(sentNumber);
+  void end(int number, Outcome outcome) {
+    Sent trip = sent.get(number);
     mixer.tripEnded(trip.part, trip.number, outcome, false, new float[0]);
   }
 
