--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -29,9 +29,7 @@
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
-  /**
-   * The share of the time left that a part's expected stay may take: stays scatter about what is expected.
-   */
+  /** The share of the time left that a part's expected stay may take, as stays scatter about it. */
   private static final double STAY_SHARE = 0.65;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
@@ -83,6 +81,11 @@
 
   private final Terms terms;
   private final Duration tipAfter;
+  /**
+   * How often a cold searcher may get a single part: less often with so many mixers that one each were too
+   * much.
+   */
+  private final Duration coldTurn;
   private final TimeRing rationExtras;
   private final TimeRing rationTaken;
 
@@ -106,6 +109,7 @@
       grades.add(Grade.read(terms, i));
     }
     tipAfter = terms.span("Safety.TipAfterMs", HEALTH_WINDOW);
+    coldTurn = scale(tipAfter, Math.max(1, terms.number("FleetSize") / COLD_MIXERS));
     Duration rationSpan = terms.span("Safety.ResendSpanMs", HEALTH_WINDOW);
     rationExtras = new TimeRing(rationSpan, BUCKETS);
     rationTaken = new TimeRing(rationSpan, BUCKETS);
@@ -122,8 +126,7 @@
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
     scan.quoted = quotedEnd(scan, repeat, now);
     hold(scan, arrived, now);
-    // all parts while coverage is full; under pressure the heaviest, up to the coverage and never under the
-    // floor
+    // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived);
     // each to the replica with the fewest own parts out, if one can be expected to answer in time
     double placed = 0;
@@ -150,8 +153,7 @@
       giveUp(scan);
       return;
     }
-    // it ends when its trips have, at the latest near its quoted time for what can be partial, or at its
-    // patience
+    // it ends when its trips have, near its quoted time if it can be partial, or with its patience
     wakeAt(scan.quoted.minus(ANSWER_MARGIN), () -> settle(scan));
     wakeAt(scan.quoted, () -> quotedPassed(scan));
     wakeAt(scan.end.minus(CLOSE_MARGIN), () -> patienceEnds(scan));
@@ -297,8 +299,7 @@
 
   /**
    * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. The
-   * fleet's pace counts as a few answers more, so that one pause at a quiet mixer does not make a searcher
-   * slow.
+   * fleet's pace counts as a few answers more, so that a quiet mixer does not take one pause for slowness.
    */
   private Duration pace(Searcher searcher, Duration now) {
     searcher.noteBusy(now);
@@ -362,10 +363,7 @@
     // a mixer that has not yet seen a full window of its searchers does not overrate them
     double seen = Math.max(warmTime.sum(now), (double) tipAfter.toNanos() * roster.all().size());
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
-    // so many mixers that one part each were too much take longer turns
-    double turn = Math.max(1, terms.number("FleetSize") / COLD_MIXERS);
-    boolean itsTurn = searcher.lastSent == null
-        || now.minus(searcher.lastSent).compareTo(scale(tipAfter, turn)) > 0;
+    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(coldTurn) > 0;
     double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
     return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
   }
@@ -478,10 +476,7 @@
         && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
-  /**
-   * Further trips feed a jam, so their number follows that of first trips, and none goes out under
-   * pressure.
-   */
+  /** Further trips feed a jam: their number follows that of first trips, and none goes out under pressure. */
   private boolean withinRation(Duration now) {
     return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now)
         && pressure(now) <= PRESSURE_BOUND;
--- a/src/test/java/gingerring/decide/MixerTest.java
+++ b/src/test/java/gingerring/decide/MixerTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -134,11 +135,10 @@
     Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(4);
     int toBad = 0;
     for (int i = 0; i < 20; i++) {
-      int first = stage.sent.size();
       stage.scan(i, 1);
-      boolean hit = stage.sent.get(first).searcher().equals(new SearcherId(1));
+      boolean hit = stage.sent.get(i).searcher().equals(new SearcherId(1));
       toBad += hit ? 1 : 0;
-      stage.end(first, hit ? Outcome.ERROR : Outcome.SUCCEEDED);
+      stage.end(i, hit ? Outcome.ERROR : Outcome.SUCCEEDED);
       stage.pass(40);
     }
     assertEquals(2, toBad);
@@ -150,8 +150,7 @@
       stage.scan(i, 1);
       stage.end(i, Outcome.ERROR);
     }
-    assertEquals(4, stage.sent.size());
-    assertEquals(1, stage.logs.size());
+    assertTrue(stage.sent.size() == 4 && stage.logs.size() == 1, stage.sent + " " + stage.logs);
   }
 
   @Test void aSearcherTriedAgainIsJudgedByNewEvidence() {
@@ -230,14 +229,12 @@
 
   @Test void namesASettingThatIsMissingOrUnreadable() {
     Map<String, String> house = new HashMap<>(Stage.HOUSE);
-    house.remove("Domain.Reach");
-    Exception missing = assertThrows(IllegalArgumentException.class,
-        () -> new Mixer(house, RandomGeneratorFactory.getDefault().create(1), new Stage()));
-    assertTrue(missing.getMessage().contains("Domain.Reach"));
-    house.put("Domain.Reach", "two");
-    Exception unreadable = assertThrows(IllegalArgumentException.class,
-        () -> new Mixer(house, RandomGeneratorFactory.getDefault().create(1), new Stage()));
-    assertTrue(unreadable.getMessage().contains("Domain.Reach"));
+    for (String value : Arrays.asList(null, "two")) {
+      house.put("Domain.Reach", value);
+      Exception e = assertThrows(IllegalArgumentException.class,
+          () -> new Mixer(house, RandomGeneratorFactory.getDefault().create(1), new Stage()));
+      assertTrue(e.getMessage().contains("Domain.Reach"), e.getMessage());
+    }
   }
 
   @Test void aRingForgetsWhatIsOlderThanItsSpan() {
--- a/src/test/java/gingerring/decide/RulesTest.java
+++ b/src/test/java/gingerring/decide/RulesTest.java
@@ -2,7 +2,6 @@
 
 import static gingerring.decide.Stage.ms;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -16,7 +15,6 @@
 /** A slow, plain model of the six rules beside the mixer, on generated days with every kind of grade. */
 class RulesTest {
   private static final double FLOOR = 0.5;
-  private static final Duration BUDGET_SPAN = ms(3000);
 
   /** What the rules say, from the whole history, in the plainest way. */
   private static final class Model extends Stage {
@@ -77,7 +75,7 @@
       check(line.standing() == Listing.Standing.READY, "drain");
       cold(line, searcher);
       if (budget && !before.isEmpty()) {
-        Duration from = now.minus(BUDGET_SPAN);
+        Duration from = now.minus(ms(3000));
         long extra = 1 + trips.stream().filter(t -> t.number > 0 && t.at.compareTo(from) >= 0).count();
         double taken = asked.values().stream().filter(each -> each.at.compareTo(from) > 0)
             .mapToInt(each -> 1 + each.parts).sum();
@@ -165,7 +163,8 @@
     }
     Model day = new Model(copies, budget, house.toArray(String[]::new));
     for (int i = 0; i < 6; i++) {
-      day.told.put(i, Stage.line(i, i % 4, Listing.Standing.READY, random.nextInt(4) == 0 ? ms(-500) : null));
+      Duration started = random.nextInt(4) == 0 ? ms(-500) : null;
+      day.told.put(i, Stage.line(i, i % 4, Listing.Standing.READY, started));
     }
     day.mixer.rosterTold(List.copyOf(day.told.values()), true);
     for (int step = 0; step < 250; step++) {
@@ -207,7 +206,7 @@
     }
     day.asked.put(scan, new Model.Asked(scan, grade, day.now, end, count));
     day.firstStep.put(scan, parts.stream().map(part -> part.id).toList());
-    day.mixer.scanArrived(scan, step, grade, random.nextInt(3), random.nextBoolean(), Duration.ZERO, end, parts);
+    day.mixer.scanArrived(scan, step, grade, step % 3, step % 2 == 0, Duration.ZERO, end, parts);
   }
 
   private static void add(Model day, ScanId scan, List<Part> parts, long id, int shard, double weight) {
@@ -281,6 +280,6 @@
   }
 
   private static void assertCaught(Model day, String rule) {
-    assertFalse(day.broken.stream().noneMatch(each -> each.contains(rule)), rule + " in " + day.broken);
+    assertTrue(day.broken.stream().anyMatch(each -> each.contains(rule)), rule + " in " + day.broken);
   }
 }
--- a/src/test/java/gingerring/drill/DrillTest.java
+++ b/src/test/java/gingerring/drill/DrillTest.java
@@ -18,7 +18,8 @@
       + "Classes.0.Idempotency=idempotent\nDiscovery=automatic\nDomain.Places=1\nDomain.Reach=1\n"
       + "FleetSize=1\nNew.Key=anything\n";
   private static final String AT = "0b 02000000 0300";
-  private static final String ROSTER = "0a 1c000000 00 01000000 0a124a07 8b13 00000000 01 0000803f 0000000000000000";
+  private static final String ROSTER = "0a 1c000000 00 01000000 0a124a07 8b13 00000000 01 0000803f"
+      + "0".repeat(16);
   private static final String DISCOVERY = "01 0a000000 02 2900000000000000 00";
   private static final String SCAN =
       "02 2f000000 c4913a5d 00005643 0000 00 0000000000000000 0000000000000000 00000000 0000803f %s 000080bf";
@@ -91,8 +92,7 @@
   @Test void namesAMissingSettingAsAnError() throws IOException {
     String reply = run(batch(2, AT, create(HOUSE.replace("Domain.Reach", "Domain.Each"))));
     assertEquals(0, exit);
-    String text = new String(HexFormat.of().parseHex(reply), StandardCharsets.ISO_8859_1);
-    assertTrue(text.contains("setting Domain.Reach is missing"), text);
+    assertTrue(new String(HexFormat.of().parseHex(reply)).contains("setting Domain.Reach is missing"), reply);
   }
 
   @Test void endsWithOnePlainLineOnWhatIsNotOfTheWire() throws IOException {
