--- a/src/test/java/gingerring/decide/RulesTest.java
+++ b/src/test/java/gingerring/decide/RulesTest.java
@@ -18,7 +18,7 @@
 
   /** What the rules say, from the whole history, in the plainest way. */
   private static final class Model extends Stage {
-    record Asked(ScanId scan, int grade, Duration at, Duration end, int parts) {}
+    record Asked(ScanId scan, int grade, Duration end) {}
 
     record Trip(PartId part, int number, int searcher, Duration at, Outcome outcome) {}
 
@@ -26,6 +26,7 @@
     final Map<PartId, ScanId> scanOf = new HashMap<>();
     final Map<PartId, Double> weights = new HashMap<>();
     final List<Trip> trips = new ArrayList<>();
+    final List<Duration> taken = new ArrayList<>();
     final List<String> broken = new ArrayList<>();
     final Map<Integer, Listing> told = new HashMap<>();
     final Map<ScanId, List<PartId>> firstStep = new HashMap<>();
@@ -65,7 +66,7 @@
       check(!finals.containsKey(scan.scan) && now.compareTo(scan.end) < 0, "lost: sent after the end");
       List<Trip> ran = before.stream().filter(Model::mayHaveRun).toList();
       if (scan.grade == 1 && !ran.isEmpty()) {
-        check(now.minus(ran.get(0).at).compareTo(ms(5000)) <= 0, "duplicate: outside the window");
+        check(now.minus(ran.get(0).at).compareTo(ms(60)) <= 0, "duplicate: outside the window");
       }
       check(scan.grade != 2 || ran.isEmpty(), "duplicate: at most once");
       long out = before.stream().filter(trip -> trip.outcome == null).count();
@@ -77,9 +78,8 @@
       if (budget && !before.isEmpty()) {
         Duration from = now.minus(ms(3000));
         long extra = 1 + trips.stream().filter(t -> t.number > 0 && t.at.compareTo(from) >= 0).count();
-        double taken = asked.values().stream().filter(each -> each.at.compareTo(from) > 0)
-            .mapToInt(each -> 1 + each.parts).sum();
-        check(extra <= 2 + 0.2 * taken, "budget");
+        long recent = taken.stream().filter(at -> at.compareTo(from) > 0).count();
+        check(extra <= 1 + 0.03 * recent, "budget");
       }
       trips.add(new Trip(part, before.size(), searcher, now, null));
       super.send(part, id, timeOut);
@@ -154,12 +154,12 @@
     String[] repeats = {"idempotent", "deduplicated", "at_most_once", "idempotent", "idempotent"};
     for (int i = 0; i < 5; i++) {
       house.addAll(List.of("Classes." + i + ".AimMs", "1000", "Classes." + i + ".HardLimitMs", "8000",
-          "Classes." + i + ".Idempotency", repeats[i], "Classes." + i + ".WindowMs", "5000",
+          "Classes." + i + ".Idempotency", repeats[i], "Classes." + i + ".WindowMs", "60",
           "Classes." + i + ".LateWorth", random.nextBoolean() ? "0.3" : "0"));
     }
     if (budget) {
-      house.addAll(List.of("Safety.ResendSpanMs", "3000", "Safety.ExtraFree", "2",
-          "Safety.ResendRatio", "0.2"));
+      house.addAll(List.of("Safety.ResendSpanMs", "3000", "Safety.ExtraFree", "1",
+          "Safety.ResendRatio", "0.03"));
     }
     Model day = new Model(copies, budget, house.toArray(String[]::new));
     for (int i = 0; i < 6; i++) {
@@ -204,7 +204,8 @@
     for (int i = 0; i < count; i++) {
       add(day, scan, parts, 100L * step + i, i, 1.0 / count);
     }
-    day.asked.put(scan, new Model.Asked(scan, grade, day.now, end, count));
+    day.asked.put(scan, new Model.Asked(scan, grade, end));
+    day.taken.add(day.now);
     day.firstStep.put(scan, parts.stream().map(part -> part.id).toList());
     day.mixer.scanArrived(scan, step, grade, step % 3, step % 2 == 0, Duration.ZERO, end, parts);
   }
@@ -214,6 +215,7 @@
     parts.add(part);
     day.scanOf.put(part.id, scan);
     day.weights.put(part.id, weight);
+    day.taken.add(day.now);
   }
 
   private static void end(Model day, SplittableRandom random) {
@@ -264,7 +266,7 @@
     List<Part> parts = new ArrayList<>();
     ScanId scan = new ScanId(1);
     add(day, scan, parts, 100, 0, 1);
-    day.asked.put(scan, new Model.Asked(scan, 2, day.now, ms(9000), 1));
+    day.asked.put(scan, new Model.Asked(scan, 2, ms(9000)));
     day.firstStep.put(scan, List.of(new PartId(100)));
     day.told.put(1, Stage.line(1, 0, Listing.Standing.READY, ms(0)));
     day.told.put(2, Stage.line(2, 0, Listing.Standing.DRAINING, null));
