Survey the active searchers once a moment, in place of the whole roster a judgment

Now only searchers with own parts out, recent evidence or a bench are looked at, what hangs on all of them is measured once for each moment, and a ring keeps its total. Also holds for any larger roster; the survey of a moment may be older than the last event of the same moment, save for pressure, which is measured anew when it grows.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -8,8 +8,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -92,8 +94,12 @@
   private final TimeRing firsts = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   private final TimeRing extras = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   private final TimeRing turnedAway = new TimeRing(PRESSURE_WINDOW, BUCKETS);
-  private Duration fleetPaceAt;
+  /** Searchers with own parts out, recent evidence or a bench: a large roster is mostly none of these. */
+  private final Set<Searcher> active = new LinkedHashSet<>();
+  private Duration surveyedAt;
   private double fleetPace;
+  private double usualGap;
+  private double pressure;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private double coverage = 1;
@@ -303,7 +309,8 @@
    */
   private Duration pace(Searcher searcher, Duration now) {
     searcher.noteBusy(now);
-    double usual = fleetPace(now);
+    survey(now);
+    double usual = fleetPace;
     if (usual == 0) {
       return Duration.ZERO;
     }
@@ -311,21 +318,6 @@
         / (searcher.answers.sum(now) + ANSWERS_LENT)));
   }
 
-  private double fleetPace(Duration now) {
-    if (!now.equals(fleetPaceAt)) {
-      double busy = 0;
-      double answers = 0;
-      for (Searcher searcher : roster.all()) {
-        busy += searcher.busy.sum(now);
-        answers += searcher.answers.sum(now);
-      }
-      fleetPaceAt = now;
-      // too few answers tell of the start, not of the fleet: nothing is kept back on them
-      fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
-    }
-    return fleetPace;
-  }
-
   private int load(Searcher searcher, Duration now) {
     return searcher.load(now, callParts());
   }
@@ -380,6 +372,7 @@
 
   private void send(Part part, Duration now) {
     Searcher searcher = part.planned;
+    active.add(searcher);
     part.trips.add(searcher.send(part, now, callParts()));
     host.send(part.id, searcher.id, part.scan.end.minus(now));
   }
@@ -439,8 +432,9 @@
     }
   }
 
-  private static void pressed(Trip trip, Duration now) {
+  private void pressed(Trip trip, Duration now) {
     if (!trip.judgedLate) {
+      surveyedAt = null;
       trip.judgedLate = true;
       trip.searcher.settled.add(now, 1);
       trip.searcher.pressed.add(now, 1);
@@ -593,23 +587,46 @@
   private Duration arriving() {
     Duration now = host.now();
     if (now.minus(lastEvent).compareTo(scale(LOOK_ROUND, STOOD_STILL)) > 0) {
-      roster.all().forEach(searcher -> searcher.skipTo(now));
+      active.forEach(searcher -> searcher.skipTo(now));
     }
     lastEvent = now;
     return now;
   }
 
-  private double pressure(Duration now) {
+  /**
+   * Measures what hangs on all searchers, once for each moment: the fleet's pace, the span between answers
+   * to this mixer (waits that have not ended, and may never, are left out of it), and the pressure.
+   */
+  private void survey(Duration now) {
+    if (now.equals(surveyedAt)) {
+      return;
+    }
+    surveyedAt = now;
+    double busy = 0;
+    double gaps = 0;
+    double answers = 0;
     double settled = turnedAway.sum(now);
     double pressed = settled;
-    for (Searcher searcher : roster.all()) {
+    for (Searcher searcher : active) {
+      double its = searcher.busy.sum(now);
+      busy += its;
+      gaps += Math.max(0, its - searcher.unheard.toNanos());
+      answers += searcher.answers.sum(now);
       // what one bad searcher or zone does is not the load's doing and must not narrow every scan
       if (searcher.benchedUntil == null) {
         settled += searcher.settled.sum(now);
         pressed += searcher.pressed.sum(now);
       }
     }
-    return settled == 0 ? 0 : pressed / settled;
+    // too few answers tell of the start, not of the fleet: nothing is kept back on them
+    fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
+    usualGap = gaps / Math.max(1, answers);
+    pressure = settled == 0 ? 0 : pressed / settled;
+  }
+
+  private double pressure(Duration now) {
+    survey(now);
+    return pressure;
   }
 
   private void lookRound() {
@@ -623,7 +640,9 @@
       }
       coverage = moved;
     }
-    for (Searcher searcher : roster.all()) {
+    active.removeIf(searcher -> searcher.quiet(now));
+    // a copy, since a bench may send copies to searchers that were not active
+    for (Searcher searcher : List.copyOf(active)) {
       judge(searcher, now);
       // a searcher that answers nothing bears nothing: its time is not time of a warm one
       if (searcher.answers.sum(now) > 0 && !cold(searcher, now)) {
@@ -667,8 +686,9 @@
     if (searcher.benchedUntil != null || !searcher.ready()) {
       return;
     }
+    survey(now);
     double errors = searcher.errors.sum(now);
-    double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * usualGap(now));
+    double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * usualGap);
     searcher.noteBusy(now);
     // only time with own parts out counts, and only from the last word on: a busy searcher still answers
     // now and then; and a cold one takes its time
@@ -679,17 +699,6 @@
     }
   }
 
-  /** The span between answers to this mixer; waits that have not ended, and may never, are left out. */
-  private double usualGap(Duration now) {
-    double gaps = 0;
-    double answers = 0;
-    for (Searcher searcher : roster.all()) {
-      gaps += Math.max(0, searcher.busy.sum(now) - searcher.unheard.toNanos());
-      answers += searcher.answers.sum(now);
-    }
-    return gaps / Math.max(1, answers);
-  }
-
   private void bench(Searcher searcher, String why) {
     Duration now = host.now();
     boolean again = searcher.benchSpan != null && (searcher.benchedUntil != null || searcher.trialsLeft > 0);
--- a/src/main/java/gingerring/decide/Part.java
+++ b/src/main/java/gingerring/decide/Part.java
@@ -25,7 +25,12 @@
   }
 
   public boolean out() {
-    return trips.stream().anyMatch(trip -> trip.outcome == null);
+    for (Trip trip : trips) {
+      if (trip.outcome == null) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** When the first trip that may have run was sent, or null where none may have. */
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -49,6 +49,12 @@
     return listing.standing() == Listing.Standing.READY;
   }
 
+  /** Nothing of it is out, recent or benched. */
+  public boolean quiet(Duration now) {
+    return out.isEmpty() && benchedUntil == null && busy.sum(now) == 0 && answers.sum(now) == 0
+        && errors.sum(now) == 0 && settled.sum(now) == 0;
+  }
+
   /** Drops what was measured of it: it is to be judged anew. */
   public void forget() {
     unheard = Duration.ZERO;
--- a/src/main/java/gingerring/decide/TimeRing.java
+++ b/src/main/java/gingerring/decide/TimeRing.java
@@ -3,10 +3,14 @@
 import java.time.Duration;
 import java.util.Arrays;
 
-/** Sums over the recent past, in fixed buckets of time that are used again in a ring. */
+/**
+ * Sums over the recent past, in fixed buckets of time that are used again in a ring. Amounts are whole
+ * numbers, so that the running total stays exact.
+ */
 public final class TimeRing {
   private final long width;
   private final double[] sums;
+  private double total;
   private long newest = Long.MIN_VALUE;
 
   public TimeRing(Duration span, int buckets) {
@@ -17,15 +21,12 @@
   public void add(Duration now, double amount) {
     turn(now);
     sums[(int) Math.floorMod(newest, (long) sums.length)] += amount;
+    total += amount;
   }
 
   /** The sum over at least the ring's span: the bucket that the span begins in counts whole. */
   public double sum(Duration now) {
     turn(now);
-    double total = 0;
-    for (double sum : sums) {
-      total += sum;
-    }
     return total;
   }
 
@@ -37,6 +38,7 @@
 
   public void clear() {
     Arrays.fill(sums, 0);
+    total = 0;
   }
 
   private void turn(Duration now) {
@@ -45,7 +47,9 @@
       newest = bucket;
     }
     for (long i = Math.max(newest + 1, bucket - sums.length + 1); i <= bucket; i++) {
-      sums[(int) Math.floorMod(i, (long) sums.length)] = 0;
+      int at = (int) Math.floorMod(i, (long) sums.length);
+      total -= sums[at];
+      sums[at] = 0;
     }
     newest = Math.max(newest, bucket);
   }
--- a/src/test/java/gingerring/decide/MixerTest.java
+++ b/src/test/java/gingerring/decide/MixerTest.java
@@ -131,6 +131,13 @@
     assertEquals("whole", stage.finals.get(new ScanId(1)));
   }
 
+  @Test void aCopyMayGoToASearcherThatWasNotUsedBefore() {
+    Stage stage = new Stage().fleet(4);
+    stage.scan(1, 1);
+    stage.pass(2000);
+    assertEquals(2, stage.sent.size());
+  }
+
   @Test void fastErrorsDoNotAttractParts() {
     Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(4);
     int toBad = 0;
