--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -57,6 +57,8 @@
   /** Own ration of further trips, beside any that the rules set: so many, and so many for each first trip. */
   private static final double EXTRA_FEW = 2;
   private static final double EXTRA_SHARE = 0.1;
+  /** A part out for so many times what parts stay is late: few of the parts that come by themselves are. */
+  private static final double LATE_STAYS = 3;
   /** How near a try's time must come to the usual one to be of it, and how many tries outvote that. */
   private static final double USUAL_TRY = 0.01;
   private static final int USUAL_VOTES = 20;
@@ -64,6 +66,8 @@
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
+  /** How long a mixer goes on trusting what its answered parts have stayed: it may carry few scans. */
+  private static final Duration STAY_MEMORY = Duration.ofSeconds(30);
   /** How soon the roster is asked again after a failure, and as much again by chance. */
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   /** How far weights may sum up short for their rounding. */
@@ -102,6 +106,8 @@
   private double pressure;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
+  private final TimeRing stays = new TimeRing(STAY_MEMORY, BUCKETS);
+  private final TimeRing stayed = new TimeRing(STAY_MEMORY, BUCKETS);
   private double coverage = 1;
   private Duration coverageMoved = Duration.ZERO;
   private Duration lastEvent = Duration.ZERO;
@@ -411,6 +417,8 @@
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
         warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
+        stays.add(now, now.minus(trip.sent).toNanos());
+        stayed.add(now, 1);
         searcher.unheard = Duration.ZERO;
         searcher.settled.add(now, trip.judgedLate ? 0 : 1);
         if (searcher.trialsLeft > 0) {
@@ -644,6 +652,7 @@
     // a copy, since a bench may send copies to searchers that were not active
     for (Searcher searcher : List.copyOf(active)) {
       judge(searcher, now);
+      copyLate(searcher, now);
       // a searcher that answers nothing bears nothing: its time is not time of a warm one
       if (searcher.answers.sum(now) > 0 && !cold(searcher, now)) {
         warmTime.add(now, LOOK_ROUND.toNanos());
@@ -718,6 +727,24 @@
     }
   }
 
+  /**
+   * A part out for far longer than answered parts stayed gets a copy elsewhere. Guards against whatever
+   * keeps a single answer away, when a mixer sends each searcher too little to judge it: lost answers,
+   * hung, silent, slow or pausing searchers, cut ways. It may feed a jam, hence the ration and the pressure.
+   */
+  private void copyLate(Searcher searcher, Duration now) {
+    double late = LATE_STAYS * stays.sum(now) / Math.max(1, stayed.sum(now));
+    for (Trip trip : searcher.out) {
+      if (stayed.sum(now) < ANSWERS_TELLING || now.minus(trip.sent).toNanos() <= late) {
+        return;
+      }
+      Part part = trip.part;
+      if (part.trips.get(part.trips.size() - 1) == trip && now.compareTo(part.scan.quoted) < 0) {
+        sendAgain(part, now);
+      }
+    }
+  }
+
   /** The roster has been told: all of it, or what changed. */
   public void rosterTold(List<Listing> lines, boolean all) {
     Duration now = arriving();
