--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -505,6 +505,9 @@
     boolean all = in >= need - WEIGHT_SLACK;
     boolean near = now.compareTo(scan.quoted.minus(ANSWER_MARGIN)) >= 0;
     if (all || in >= least - WEIGHT_SLACK && (!out || near)) {
+      if (!all) {
+        timeOut(scan, now);
+      }
       answer(scan, all && scan.wholeSoFar);
     } else if (!out || possible < least - WEIGHT_SLACK) {
       giveUp(scan);
@@ -558,15 +561,19 @@
     if (scan.closed) {
       return;
     }
-    Duration now = host.now();
-    for (Part part : scan.parts) {
-      part.trips.stream().filter(trip -> trip.outcome == null).forEach(trip -> pressed(trip, now));
-    }
+    timeOut(scan, host.now());
     if (scan.grade.lateShare == 0) {
       giveUp(scan);
     }
   }
 
+  /** What is still out near the quoted time has timed out, whether the scan is answered without it or not. */
+  private void timeOut(Scan scan, Duration now) {
+    for (Part part : scan.parts) {
+      part.trips.stream().filter(trip -> trip.outcome == null).forEach(trip -> pressed(trip, now));
+    }
+  }
+
   private void patienceEnds(Scan scan) {
     settle(scan);
     if (!scan.closed) {
