Free trips in the stead of ones that never ran from the own ration

Ought to hold against any searcher that turns parts away or cannot be reached; it may carry a jam on to the holders that are left.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -449,10 +449,16 @@
     }
   }
 
-  /** Another trip for a part, if rules, ration and time allow one and some other searcher can do it. */
+  /**
+   * Another trip for a part, if rules, ration and time allow one and some other searcher can do it. A trip
+   * in the stead of one that never ran adds no work, so the own ration does not bind it. Guards against a
+   * scan of many parts falling to a single full or unreachable searcher, with the work of all the others
+   * lost and its client back at once; it may carry a jam on to the holders that are left.
+   */
   private void sendAgain(Part part, Duration now) {
-    if (mayGoAgain(part, now) && withinRation(now) && plan(part, now)) {
-      extras.add(now, 1);
+    boolean instead = part.mayHaveRunSince() == null;
+    if (mayGoAgain(part, now) && (instead || withinRation(now)) && plan(part, now)) {
+      extras.add(now, instead ? 0 : 1);
       rationExtras.add(now, 1);
       send(part, now);
     }
