Let copies go within their ration under pressure too

View: at full size a mixer's own pressure is a share of a handful of parts and is over 0.1 in any trouble, so copies stopped when they were needed. The ration of a tenth of first trips still bounds what copies can add to a jam.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -486,8 +486,7 @@
 
   /** Further trips feed a jam: their number follows that of first trips, and none goes out under pressure. */
   private boolean withinRation(Duration now) {
-    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now)
-        && pressure(now) <= PRESSURE_BOUND;
+    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
