--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -33,6 +33,8 @@
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take, as stays scatter about it. */
   private static final double STAY_SHARE = 0.65;
+  /** A scan that needs all its parts may expect so many of them late: at one it fails more often than not. */
+  private static final double LATE_PARTS = 0.7;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
@@ -153,7 +155,8 @@
     }
     // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
     turnedAway.add(now, late);
-    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0
+        && (scan.grade.partial() || lateParts(selected, scan.quoted.minus(now), now) <= LATE_PARTS);
     for (Part part : selected) {
       if (enough && part.planned != null) {
         firsts.add(now, 1);
@@ -297,6 +300,19 @@
     return stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos();
   }
 
+  /**
+   * How many of the planned parts would come late, as stays scatter about their mean like waits in a line.
+   * Guards against wide scans that need every part and fall to their slowest, whose work is lost and whose
+   * clients come back: the wider, the earlier the mixer must give up. May nack where the fleet only pauses.
+   */
+  private double lateParts(List<Part> selected, Duration left, Duration now) {
+    double late = 0;
+    for (Part part : selected) {
+      late += part.planned == null ? 0 : Math.exp(-left.toNanos() / (double) stay(part.planned, now).toNanos());
+    }
+    return late;
+  }
+
   /**
    * How long a part sent now would stay: what parts stayed there of late, and for each own part out beyond
    * the usual number a share of the pace, since other mixers' parts stand in the same line and do not grow
