--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -33,8 +33,8 @@
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take, as stays scatter about it. */
   private static final double STAY_SHARE = 0.65;
-  /** A scan that needs all its parts may expect so many of them late: at one it fails more often than not. */
-  private static final double LATE_PARTS = 0.7;
+  /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
+  private static final double LATE_PARTS = 3;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
   private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
   private static final int BUCKETS = 12;
