--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -59,8 +59,9 @@
   /** Own ration of further trips, beside any that the rules set: so many, and so many for each first trip. */
   private static final double EXTRA_FEW = 2;
   private static final double EXTRA_SHARE = 0.1;
-  /** A part out for so many times what parts stay is late: few of the parts that come by themselves are. */
+  /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 3;
+  private static final double COPY_STAYS = 4;
   /** How near a try's time must come to the usual one to be of it, and how many tries outvote that. */
   private static final double USUAL_TRY = 0.01;
   private static final int USUAL_VOTES = 20;
@@ -251,11 +252,7 @@
     return scan.grade.partial() ? scan.grade.floor : scan.grade.need;
   }
 
-  /**
-   * Finds the replica for a part's next trip: fewest own parts out, ties from its home on. Benched
-   * searchers come in only where no trusted one can take the part: a shard is better asked of a doubtful
-   * holder than of none.
-   */
+  /** The replica with fewest own parts out, ties from its home on; a benched one only where no other can. */
   private boolean plan(Part part, Duration now) {
     if (!plan(part, now, false)) {
       plan(part, now, true);
@@ -756,18 +753,20 @@
   }
 
   /**
-   * A part out for far longer than answered parts stayed gets a copy elsewhere. Guards against whatever
-   * keeps a single answer away, when a mixer sends each searcher too little to judge it: lost answers,
-   * hung, silent, slow or pausing searchers, cut ways. It may feed a jam, hence the ration and the pressure.
+   * A part out for far longer than answered parts stayed gets a copy elsewhere, as late as a copy can well be
+   * in time: most late parts still come by themselves. Guards against whatever keeps a single answer away,
+   * when a mixer sends each searcher too little to judge it: lost answers, hung, silent, slow or pausing
+   * searchers, cut ways. It may feed a jam, hence the ration.
    */
   private void copyLate(Searcher searcher, Duration now) {
-    double late = LATE_STAYS * stays.sum(now) / Math.max(1, stayed.sum(now));
+    double stay = stays.sum(now) / Math.max(1, stayed.sum(now));
     for (Trip trip : searcher.out) {
-      if (stayed.sum(now) < ANSWERS_TELLING || now.minus(trip.sent).toNanos() <= late) {
+      if (stayed.sum(now) < ANSWERS_TELLING || now.minus(trip.sent).toNanos() <= LATE_STAYS * stay) {
         return;
       }
       Part part = trip.part;
-      if (part.trips.get(part.trips.size() - 1) == trip && now.compareTo(part.scan.quoted) < 0) {
+      double left = part.scan.quoted.minus(now).toNanos();
+      if (part.trips.get(part.trips.size() - 1) == trip && left > 0 && left <= COPY_STAYS * stay) {
         sendAgain(part, now);
       }
     }
