--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -26,6 +26,8 @@
   private static final double PRESSURE_BOUND = 0.1;
   private static final double COVERAGE_STEP = 0.1;
   private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
+  /** How far a scan is narrowed at once for each share of its parts that is expected to be late. */
+  private static final double NARROWING = 2;
 
   /** How long before the quoted time a partial answer goes out: a few round trips and ticks. */
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
@@ -105,6 +107,7 @@
   private final Set<Searcher> active = new LinkedHashSet<>();
   private Duration surveyedAt;
   private double fleetPace;
+  private double fleetStay;
   private double usualGap;
   private double pressure;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
@@ -142,7 +145,7 @@
     scan.quoted = quotedEnd(scan, repeat, now);
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
-    List<Part> selected = select(scan, arrived);
+    List<Part> selected = select(scan, arrived, now);
     // each to the replica with the fewest own parts out, if one can be expected to answer in time
     double placed = 0;
     double late = 0;
@@ -156,8 +159,10 @@
     }
     // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
     turnedAway.add(now, late);
-    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0
-        && (scan.grade.partial() || lateParts(selected, scan.quoted.minus(now), now) <= LATE_PARTS);
+    // a wide scan that needs every part falls to its slowest: its work is lost and its client comes back
+    boolean hopeless = !scan.grade.partial()
+        && selected.size() * lateShare(scan.quoted.minus(now), now) > LATE_PARTS;
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0 && !hopeless;
     for (Part part : selected) {
       if (enough && part.planned != null) {
         firsts.add(now, 1);
@@ -229,8 +234,13 @@
     return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
   }
 
-  private List<Part> select(Scan scan, List<Part> arrived) {
-    double target = Math.max(coverage, least(scan));
+  /**
+   * The parts to send. What the stays of late let expect to time out narrows a scan at once: a mixer with few
+   * scans would learn of a burst when it has passed.
+   */
+  private List<Part> select(Scan scan, List<Part> arrived, Duration now) {
+    double expected = 1 - NARROWING * lateShare(scan.quoted.minus(now), now);
+    double target = Math.max(Math.min(coverage, expected), least(scan));
     if (target >= 1) {
       return arrived;
     }
@@ -297,17 +307,10 @@
     return stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos();
   }
 
-  /**
-   * How many of the planned parts would come late, as stays scatter about their mean like waits in a line.
-   * Guards against wide scans that need every part and fall to their slowest, whose work is lost and whose
-   * clients come back: the wider, the earlier the mixer must give up. May nack where the fleet only pauses.
-   */
-  private double lateParts(List<Part> selected, Duration left, Duration now) {
-    double late = 0;
-    for (Part part : selected) {
-      late += part.planned == null ? 0 : Math.exp(-left.toNanos() / (double) stay(part.planned, now).toNanos());
-    }
-    return late;
+  /** The share of parts sent now that would come late, as stays scatter about their mean like waits in a line. */
+  private double lateShare(Duration left, Duration now) {
+    survey(now);
+    return fleetStay == 0 ? 0 : Math.exp(-left.toNanos() / fleetStay);
   }
 
   /**
@@ -638,6 +641,8 @@
     double busy = 0;
     double gaps = 0;
     double answers = 0;
+    double held = 0;
+    double heard = 0;
     double settled = turnedAway.sum(now);
     double pressed = settled;
     for (Searcher searcher : active) {
@@ -647,12 +652,15 @@
       answers += searcher.answers.sum(now);
       // what one bad searcher or zone does is not the load's doing and must not narrow every scan
       if (searcher.benchedUntil == null) {
+        held += searcher.held.sum(now);
+        heard += searcher.answers.sum(now);
         settled += searcher.settled.sum(now);
         pressed += searcher.pressed.sum(now);
       }
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
+    fleetStay = heard < ANSWERS_TELLING ? 0 : held / heard;
     usualGap = gaps / Math.max(1, answers);
     pressure = settled == 0 ? 0 : pressed / settled;
   }
