Expected late share by the ended stays of the last 5 s

Waits that have only begun are left out; one measure serves late copies, wide scans and the narrowing.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -72,7 +72,7 @@
   private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
   /** How long a mixer goes on trusting what its answered parts have stayed: it may carry few scans. */
-  private static final Duration STAY_MEMORY = Duration.ofSeconds(30);
+  private static final Duration STAY_MEMORY = Duration.ofSeconds(5);
   /** How soon the roster is asked again after a failure, and as much again by chance. */
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   /** How far weights may sum up short for their rounding. */
@@ -107,7 +107,6 @@
   private final Set<Searcher> active = new LinkedHashSet<>();
   private Duration surveyedAt;
   private double fleetPace;
-  private double fleetStay;
   private double usualGap;
   private double pressure;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
@@ -307,10 +306,14 @@
     return stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos();
   }
 
-  /** The share of parts sent now that would come late, as stays scatter about their mean like waits in a line. */
+  /** The share of parts sent now that would come late, as stays scatter like waits in a line. */
   private double lateShare(Duration left, Duration now) {
-    survey(now);
-    return fleetStay == 0 ? 0 : Math.exp(-left.toNanos() / fleetStay);
+    return usualStay(now) == 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
+  }
+
+  /** What answered parts stayed of late; 0 where too few were answered. */
+  private double usualStay(Duration now) {
+    return stayed.sum(now) < ANSWERS_TELLING ? 0 : stays.sum(now) / stayed.sum(now);
   }
 
   /**
@@ -641,8 +644,6 @@
     double busy = 0;
     double gaps = 0;
     double answers = 0;
-    double held = 0;
-    double heard = 0;
     double settled = turnedAway.sum(now);
     double pressed = settled;
     for (Searcher searcher : active) {
@@ -652,15 +653,12 @@
       answers += searcher.answers.sum(now);
       // what one bad searcher or zone does is not the load's doing and must not narrow every scan
       if (searcher.benchedUntil == null) {
-        held += searcher.held.sum(now);
-        heard += searcher.answers.sum(now);
         settled += searcher.settled.sum(now);
         pressed += searcher.pressed.sum(now);
       }
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
-    fleetStay = heard < ANSWERS_TELLING ? 0 : held / heard;
     usualGap = gaps / Math.max(1, answers);
     pressure = settled == 0 ? 0 : pressed / settled;
   }
@@ -767,9 +765,9 @@
    * searchers, cut ways. It may feed a jam, hence the ration.
    */
   private void copyLate(Searcher searcher, Duration now) {
-    double stay = stays.sum(now) / Math.max(1, stayed.sum(now));
+    double stay = usualStay(now);
     for (Trip trip : searcher.out) {
-      if (stayed.sum(now) < ANSWERS_TELLING || now.minus(trip.sent).toNanos() <= LATE_STAYS * stay) {
+      if (now.minus(trip.sent).toNanos() <= LATE_STAYS * stay) {
         return;
       }
       Part part = trip.part;
