--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -746,16 +746,6 @@
     searcher.benchedUntil = now.plus(searcher.benchSpan);
     searcher.trialsLeft = 0;
     log("searcher in cell " + searcher.listing.cell() + " benched: " + why);
-    rescue(searcher, now);
-  }
-
-  /** Parts out at a searcher that is not to be counted on get a copy elsewhere, within the ration. */
-  private void rescue(Searcher searcher, Duration now) {
-    for (Trip trip : List.copyOf(searcher.out)) {
-      if (!trip.part.scan.closed && now.compareTo(trip.part.scan.quoted) < 0) {
-        sendAgain(trip.part, now);
-      }
-    }
   }
 
   /**
@@ -786,7 +776,6 @@
         id -> new Searcher(id, HEALTH_WINDOW, PRESSURE_WINDOW, tipAfter, BUCKETS))) {
       searcher.benchedUntil = null;
       searcher.forget();
-      rescue(searcher, now);
     }
   }
 
