--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -274,7 +274,7 @@
 
   private boolean plan(Part part, Duration now, boolean benched) {
     List<Searcher> holders = roster.holders(part.shard);
-    int home = home(part, holders);
+    int home = home(part, Math.max(1, holders.size()));
     Duration left = (now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end).minus(now);
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
@@ -295,21 +295,11 @@
     }
   }
 
-  /** A part's home, hashed in proportion to the holders' told sizes, since at a quiet mixer ties decide. */
-  private static int home(Part part, List<Searcher> holders) {
+  private static int home(Part part, int holders) {
     long seed = part.key != 0 ? part.key : part.scan.key != 0 ? part.scan.key : part.scan.id.number();
     long hash = (seed * 0x9E3779B97F4A7C15L) ^ (part.shard * 0xC2B2AE3D27D4EB4FL);
     hash = (hash ^ (hash >>> 32)) * 0xD6E8FEB86659FD93L;
-    double sizes = 0;
-    for (Searcher holder : holders) {
-      sizes += holder.listing.size();
-    }
-    double mark = ((hash ^ (hash >>> 32)) >>> 11) * 0x1p-53 * sizes;
-    int home = 0;
-    while (home < holders.size() - 1 && mark >= holders.get(home).listing.size()) {
-      mark -= holders.get(home++).listing.size();
-    }
-    return home;
+    return (int) Math.floorMod(hash ^ (hash >>> 32), (long) holders);
   }
 
   private boolean inTime(Searcher searcher, Duration left, Duration now) {
