--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -311,12 +311,12 @@
 
   /** The share of parts sent now that would come late, as stays scatter like waits in a line. */
   private double lateShare(Duration left, Duration now) {
-    return usualStay(now) == 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
+    return usualStay(now) == 0 || now.minus(lastAnswer).compareTo(FRESH) > 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
   }
 
   /** What answered parts stayed of late; 0 where too few were answered. */
   private double usualStay(Duration now) {
-    return stayed.sum(now) < ANSWERS_TELLING || now.minus(lastAnswer).compareTo(FRESH) > 0 ? 0 : stays.sum(now) / stayed.sum(now);
+    return stayed.sum(now) < ANSWERS_TELLING ? 0 : stays.sum(now) / stayed.sum(now);
   }
 
   /**
