--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -73,8 +73,6 @@
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
   /** How long a mixer goes on trusting what its answered parts have stayed: it may carry few scans. */
   private static final Duration STAY_MEMORY = Duration.ofSeconds(5);
-  /** With no answer for so long a mixer knows nothing of the fleet's pace: it lets a scan through to learn. */
-  private static final Duration FRESH = Duration.ofSeconds(1);
   /** How soon the roster is asked again after a failure, and as much again by chance. */
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   /** How far weights may sum up short for their rounding. */
@@ -115,7 +113,6 @@
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing stays = new TimeRing(STAY_MEMORY, BUCKETS);
   private final TimeRing stayed = new TimeRing(STAY_MEMORY, BUCKETS);
-  private Duration lastAnswer = Duration.ZERO;
   private double coverage = 1;
   private Duration coverageMoved = Duration.ZERO;
   private Duration lastEvent = Duration.ZERO;
@@ -311,7 +308,7 @@
 
   /** The share of parts sent now that would come late, as stays scatter like waits in a line. */
   private double lateShare(Duration left, Duration now) {
-    return usualStay(now) == 0 || now.minus(lastAnswer).compareTo(FRESH) > 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
+    return usualStay(now) == 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
   }
 
   /** What answered parts stayed of late; 0 where too few were answered. */
@@ -441,7 +438,6 @@
         warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
         stays.add(now, now.minus(trip.sent).toNanos());
         stayed.add(now, 1);
-        lastAnswer = now;
         searcher.unheard = Duration.ZERO;
         searcher.settled.add(now, trip.judgedLate ? 0 : 1);
         if (searcher.trialsLeft > 0) {
@@ -662,7 +658,7 @@
       }
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
-    fleetPace = answers < ANSWERS_TELLING || now.minus(lastAnswer).compareTo(FRESH) > 0 ? 0 : busy / answers;
+    fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
     usualGap = gaps / Math.max(1, answers);
     pressure = settled == 0 ? 0 : pressed / settled;
   }
