--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -27,7 +27,7 @@
   private static final double COVERAGE_STEP = 0.1;
   private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
   /** How far a scan is narrowed at once for each share of its parts that is expected to be late. */
-  private static final double NARROWING = 4;
+  private static final double NARROWING = 2;
 
   /** How long before the quoted time a partial answer goes out: a few round trips and ticks. */
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
