Count the time of trips given up in the usual stay

The usual stay knew only stays under the quoted time, so it expected under one part late. Now time out divided by answers, the usual measure with cut-off waits.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -311,7 +311,7 @@
     return usualStay(now) == 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
   }
 
-  /** What answered parts stayed of late; 0 where too few were answered. */
+  /** How long trips of late were out for each answer; 0 where too few were answered. */
   private double usualStay(Duration now) {
     return stayed.sum(now) < ANSWERS_TELLING ? 0 : stays.sum(now) / stayed.sum(now);
   }
@@ -432,11 +432,12 @@
   private void note(Trip trip, Duration now) {
     Searcher searcher = trip.searcher;
     searcher.end(trip, now);
+    // the time of trips given up counts too: answers alone would tell only of stays under the quoted time
+    stays.add(now, trip.outcome.neverRan ? 0 : now.minus(trip.sent).toNanos());
     switch (trip.outcome) {
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
         warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
-        stays.add(now, now.minus(trip.sent).toNanos());
         stayed.add(now, 1);
         searcher.unheard = Duration.ZERO;
         searcher.settled.add(now, trip.judgedLate ? 0 : 1);
