--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -71,8 +71,10 @@
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
-  /** How long a mixer goes on trusting what its answered parts have stayed: it may carry few scans. */
-  private static final Duration STAY_MEMORY = Duration.ofSeconds(5);
+  /** The usual stay is that of the latest so many answers, from so long ago at most: scans may be rare. */
+  private static final double STAYS_TELLING = 60;
+  private static final Duration STAY_MEMORY = Duration.ofSeconds(20);
+  private static final int STAY_BUCKETS = 40;
   /** How soon the roster is asked again after a failure, and as much again by chance. */
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   /** How far weights may sum up short for their rounding. */
@@ -111,8 +113,8 @@
   private double pressure;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
-  private final TimeRing stays = new TimeRing(STAY_MEMORY, BUCKETS);
-  private final TimeRing stayed = new TimeRing(STAY_MEMORY, BUCKETS);
+  private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
+  private final TimeRing stayed = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
   private double coverage = 1;
   private Duration coverageMoved = Duration.ZERO;
   private Duration lastEvent = Duration.ZERO;
@@ -313,7 +315,9 @@
 
   /** How long trips of late were out for each answer; 0 where too few were answered. */
   private double usualStay(Duration now) {
-    return stayed.sum(now) < ANSWERS_TELLING ? 0 : stays.sum(now) / stayed.sum(now);
+    int back = stayed.back(now, STAYS_TELLING);
+    double answers = stayed.sum(now, back);
+    return answers < ANSWERS_TELLING ? 0 : stays.sum(now, back) / answers;
   }
 
   /**
--- a/src/main/java/gingerring/decide/TimeRing.java
+++ b/src/main/java/gingerring/decide/TimeRing.java
@@ -36,6 +36,26 @@
     return sum(now) - sums[(int) Math.floorMod(newest + 1, (long) sums.length)];
   }
 
+  /** How many of the newest buckets hold at least so much; all of them where they hold less. */
+  public int back(Duration now, double least) {
+    turn(now);
+    int back = 0;
+    for (double held = 0; back < sums.length && held < least; back++) {
+      held += sums[(int) Math.floorMod(newest - back, (long) sums.length)];
+    }
+    return back;
+  }
+
+  /** The sum over so many of the newest buckets. */
+  public double sum(Duration now, int back) {
+    turn(now);
+    double part = 0;
+    for (int i = 0; i < back; i++) {
+      part += sums[(int) Math.floorMod(newest - i, (long) sums.length)];
+    }
+    return part;
+  }
+
   public void clear() {
     Arrays.fill(sums, 0);
     total = 0;
