--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -436,13 +436,15 @@
   private void note(Trip trip, Duration now) {
     Searcher searcher = trip.searcher;
     searcher.end(trip, now);
-    // the time of trips given up counts too: answers alone would tell only of stays under the quoted time
-    stays.add(now, trip.outcome.neverRan ? 0 : now.minus(trip.sent).toNanos());
+    // the time of trips given up counts too: answers alone would tell only of stays under the quoted time;
+    // but a benched searcher keeps parts for reasons of its own, which tell nothing of the others
+    boolean tells = !trip.outcome.neverRan && searcher.benchedUntil == null;
+    stays.add(now, tells ? now.minus(trip.sent).toNanos() : 0);
     switch (trip.outcome) {
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
         warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
-        stayed.add(now, 1);
+        stayed.add(now, tells ? 1 : 0);
         searcher.unheard = Duration.ZERO;
         searcher.settled.add(now, trip.judgedLate ? 0 : 1);
         if (searcher.trialsLeft > 0) {
