--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -415,6 +415,7 @@
     Duration now = arriving();
     Trip trip = part.trips.get(number);
     trip.outcome = outcome;
+    trip.ended = now;
     part.over |= over;
     note(trip, now);
     if (part.scan.closed) {
@@ -436,15 +437,10 @@
   private void note(Trip trip, Duration now) {
     Searcher searcher = trip.searcher;
     searcher.end(trip, now);
-    // the time of trips given up counts too: answers alone would tell only of stays under the quoted time;
-    // but a benched searcher keeps parts for reasons of its own, which tell nothing of the others
-    boolean tells = !trip.outcome.neverRan && searcher.benchedUntil == null;
-    stays.add(now, tells ? now.minus(trip.sent).toNanos() : 0);
     switch (trip.outcome) {
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
         warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
-        stayed.add(now, tells ? 1 : 0);
         searcher.unheard = Duration.ZERO;
         searcher.settled.add(now, trip.judgedLate ? 0 : 1);
         if (searcher.trialsLeft > 0) {
@@ -573,6 +569,7 @@
     scans.remove(scan.id);
     scansByNumber.remove(scan.number, scan);
     for (Part part : scan.parts) {
+      part.trips.forEach(trip -> noteStay(trip, host.now()));
       recallTrips(part);
       if (!part.out()) {
         parts.remove(part.id);
@@ -580,6 +577,18 @@
     }
   }
 
+  /**
+   * Stays are booked scan by scan: single answers would tell of the quick half of a scan first and of the slow
+   * half last. The time of trips given up counts too, as answers alone tell only of stays under the quoted
+   * time; but a benched searcher keeps parts for reasons that tell nothing of the others.
+   */
+  private void noteStay(Trip trip, Duration now) {
+    if ((trip.outcome == null || !trip.outcome.neverRan) && trip.searcher.benchedUntil == null) {
+      stays.add(now, (trip.outcome == null ? now : trip.ended).minus(trip.sent).toNanos());
+      stayed.add(now, trip.outcome == Outcome.SUCCEEDED ? 1 : 0);
+    }
+  }
+
   private void recallTrips(Part part) {
     for (int i = 0; terms.flag("PolicyLimits.Cancel") && i < part.trips.size(); i++) {
       if (part.trips.get(i).outcome == null) {
--- a/src/main/java/gingerring/decide/Trip.java
+++ b/src/main/java/gingerring/decide/Trip.java
@@ -9,6 +9,7 @@
   public final Duration sent;
   public final Call call;
   public Outcome outcome;
+  public Duration ended;
   public boolean judgedLate;
 
   public Trip(Part part, Searcher searcher, Duration sent, Call call) {
