--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -75,6 +75,7 @@
   private static final double STAYS_TELLING = 60;
   private static final Duration STAY_MEMORY = Duration.ofSeconds(20);
   private static final int STAY_BUCKETS = 40;
+  private static final Duration FRESH = Duration.ofSeconds(3);
   /** How soon the roster is asked again after a failure, and as much again by chance. */
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   /** How far weights may sum up short for their rounding. */
@@ -115,6 +116,7 @@
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
   private final TimeRing stayed = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
+  private Duration stayNoted = Duration.ZERO;
   private double coverage = 1;
   private Duration coverageMoved = Duration.ZERO;
   private Duration lastEvent = Duration.ZERO;
@@ -308,9 +310,12 @@
     return stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos();
   }
 
-  /** The share of parts sent now that would come late, as stays scatter like waits in a line. */
+  /**
+   * The share of parts sent now that would come late, as stays scatter like waits in a line. None on old news:
+   * a mixer that nacks all it gets learns nothing more, and must let a scan through now and then.
+   */
   private double lateShare(Duration left, Duration now) {
-    return usualStay(now) == 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
+    return usualStay(now) == 0 || now.minus(stayNoted).compareTo(FRESH) > 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
   }
 
   /** How long trips of late were out for each answer; 0 where too few were answered. */
@@ -586,6 +591,7 @@
     if ((trip.outcome == null || !trip.outcome.neverRan) && trip.searcher.benchedUntil == null) {
       stays.add(now, (trip.outcome == null ? now : trip.ended).minus(trip.sent).toNanos());
       stayed.add(now, trip.outcome == Outcome.SUCCEEDED ? 1 : 0);
+      stayNoted = now;
     }
   }
 
