--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -68,7 +68,7 @@
   private static final double USUAL_TRY = 0.01;
   private static final int USUAL_VOTES = 20;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
-  private static final double COLD_SHARE = 0.6;
+  private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
   /** The usual stay is that of the latest so many answers, from so long ago at most: scans may be rare. */
