--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -379,8 +379,7 @@
    * present share, times COLD_SHARE of the rule's multiple, of what warm searchers have answered this mixer
    * in such a time over the last half minute; every trip and copy counts from its first instant. What was
    * answered is never more than could be borne, so mixers that all keep to this stay under the rule
-   * together. Less than a part a window is taken as one part in turns, the first of them by chance, so that many
-   * quiet mixers come to the same. The long memory serves a fleet that starts all at once. The guard also keeps a slow starter
+   * together. The long memory serves a fleet that starts all at once. The guard also keeps a slow starter
    * from drawing parts because it has none out; it may leave a fast starter idle.
    */
   private boolean coldRoom(Searcher searcher, Duration now) {
@@ -390,16 +389,9 @@
     // a mixer that has not yet seen a full window of its searchers does not overrate them
     double seen = Math.max(warmTime.sum(now), (double) tipAfter.toNanos() * roster.all().size());
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
+    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(coldTurn) > 0;
     double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
-    if (allowed >= 1) {
-      return searcher.sends.sum(now) + searcher.plannedParts + 1 <= allowed;
-    }
-    Duration turn = min(coldTurn, scale(tipAfter, 1 / Math.max(allowed, 1e-6)));
-    if (searcher.turnAt == null) {
-      searcher.turnAt = now.plus(scale(turn, chance.nextDouble()));
-    }
-    Duration since = searcher.lastSent == null ? turn : now.minus(searcher.lastSent);
-    return searcher.plannedParts == 0 && now.compareTo(searcher.turnAt) >= 0 && since.compareTo(turn) >= 0;
+    return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
   }
 
   /** The least share of its capacity that a searcher may have had a window ago: 1 once it is warm. */
@@ -710,13 +702,14 @@
       coverage = moved;
     }
     active.removeIf(searcher -> searcher.quiet(now));
-    // a searcher that is benched bears nothing: its time is not time of a warm one
-    warmTime.add(now, LOOK_ROUND.toNanos()
-        * roster.all().stream().filter(each -> trusted(each) && !cold(each, now)).count());
     // a copy, since a bench may send copies to searchers that were not active
     for (Searcher searcher : List.copyOf(active)) {
       judge(searcher, now);
       copyLate(searcher, now);
+      // a searcher that answers nothing bears nothing: its time is not time of a warm one
+      if (searcher.answers.sum(now) > 0 && !cold(searcher, now)) {
+        warmTime.add(now, LOOK_ROUND.toNanos());
+      }
       if (searcher.benchedUntil != null && searcher.benchedUntil.compareTo(now) <= 0 && !searcher.probing) {
         if (terms.flag("PolicyLimits.Probing") && searcher.ready()) {
           searcher.probing = true;
@@ -804,7 +797,6 @@
     for (Searcher searcher : roster.told(lines, all,
         id -> new Searcher(id, HEALTH_WINDOW, PRESSURE_WINDOW, tipAfter, BUCKETS))) {
       searcher.benchedUntil = null;
-      searcher.turnAt = null;
       searcher.forget();
     }
   }
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -15,8 +15,6 @@
   public int callsOut;
   public Trip.Call call;
   public Duration lastSent;
-  /** From when on it may get single parts while it is cold. */
-  public Duration turnAt;
   public int plannedParts;
   public Duration busySince;
   /** Time with own parts out since the last word from it. */
