Drop the quoted time counted from the first try

It told late repeats by a vote on their patience; at size it is worth nothing and clients of short patience were misjudged by it.

--- a/src/main/java/gingerring/decide/Grade.java
+++ b/src/main/java/gingerring/decide/Grade.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** A service grade, and what a mixer has noticed of its scans. */
+/** A service grade. */
 public final class Grade {
   /** What a repeat does: nothing, nothing while its mark is known, or harm. */
   public enum Repeats { REISSUABLE, NUMBERED, AT_MOST_ONCE }
@@ -16,9 +16,6 @@
   public double floor;
   public double need;
   public int fetch;
-  /** The time that most tries of this grade are given, by a running vote. */
-  public Duration usualTry = Duration.ZERO;
-  public int usualVotes;
 
   /** Reads the grade of a number. */
   static Grade read(Terms terms, int i) {
--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -64,9 +64,6 @@
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 3;
   private static final double COPY_STAYS = 4;
-  /** How near a try's time must come to the usual one to be of it, and how many tries outvote that. */
-  private static final double USUAL_TRY = 0.01;
-  private static final int USUAL_VOTES = 20;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
@@ -145,7 +142,8 @@
       Duration end, List<Part> arrived) {
     Duration now = arriving();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
-    scan.quoted = quotedEnd(scan, repeat, now);
+    scan.quoted = min(now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch)),
+        end.minus(CLOSE_MARGIN));
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived, now);
@@ -212,31 +210,6 @@
     rationTaken.add(now, arrived.size() + (scan.parts.size() == arrived.size() ? 1 : 0));
   }
 
-  /**
-   * Counted from the client's first try. Most tries are given up after one and the same time; a try that
-   * brings another one brings what is left of its client's patience, which tells how long ago the first try
-   * was. Guards against spending work on repeats whose quoted time has passed. Clients whose patience is
-   * short from the first would be misjudged, so it acts only under pressure, when such work is at others'
-   * cost, and never on a scan that is known to be a first try.
-   */
-  private Duration quotedEnd(Scan scan, boolean repeat, Duration now) {
-    Grade grade = scan.grade;
-    Duration left = scan.end.minus(now);
-    boolean usual = Math.abs(left.minus(grade.usualTry).toNanos()) <= USUAL_TRY * grade.usualTry.toNanos();
-    if (usual) {
-      grade.usualVotes = Math.min(USUAL_VOTES, grade.usualVotes + 1);
-    } else if (--grade.usualVotes < 0) {
-      grade.usualTry = left;
-      grade.usualVotes = 1;
-      usual = true;
-    }
-    boolean first = usual || !repeat && terms.flag("ClientHabits.MarksRetry")
-        || pressure(now) <= PRESSURE_BOUND;
-    Duration spent = first ? Duration.ZERO : max(Duration.ZERO, grade.patience.minus(left));
-    Duration stretch = scale(scan.work, grade.quotedStretch);
-    return min(now.plus(grade.quoted).plus(stretch).minus(spent), scan.end.minus(CLOSE_MARGIN));
-  }
-
   /**
    * The parts to send. What the stays of late let expect to time out narrows a scan at once: a mixer with few
    * scans would learn of a burst when it has passed.
