--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -23,6 +23,8 @@
 public final class Mixer {
   // The design's starting values.
   private static final Duration PRESSURE_WINDOW = Duration.ofSeconds(2);
+  private static final Duration PRESSURE_MEMORY = Duration.ofSeconds(8);
+  private static final double SETTLED_TELLING = 20;
   private static final double PRESSURE_BOUND = 0.1;
   private static final double COVERAGE_STEP = 0.1;
   private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
@@ -102,13 +104,13 @@
 
   private final TimeRing firsts = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   private final TimeRing extras = new TimeRing(PRESSURE_WINDOW, BUCKETS);
-  private final TimeRing turnedAway = new TimeRing(PRESSURE_WINDOW, BUCKETS);
+  private final TimeRing settled = new TimeRing(PRESSURE_MEMORY, STAY_BUCKETS);
+  private final TimeRing pressed = new TimeRing(PRESSURE_MEMORY, STAY_BUCKETS);
   /** Searchers with own parts out, recent evidence or a bench: a large roster is mostly none of these. */
   private final Set<Searcher> active = new LinkedHashSet<>();
   private Duration surveyedAt;
   private double fleetPace;
   private double usualGap;
-  private double pressure;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
@@ -159,7 +161,8 @@
       }
     }
     // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
-    turnedAway.add(now, late);
+    settled.add(now, late);
+    pressed.add(now, late);
     // a wide scan that needs every part falls to its slowest: its work is lost and its client comes back
     boolean hopeless = !scan.grade.partial()
         && selected.size() * lateShare(scan.quoted.minus(now), now) > LATE_PARTS;
@@ -420,19 +423,19 @@
         searcher.answers.add(now, 1);
         warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
         searcher.unheard = Duration.ZERO;
-        searcher.settled.add(now, trip.judgedLate ? 0 : 1);
+        settle(trip, now, false);
         if (searcher.trialsLeft > 0) {
           searcher.trialsLeft--;
         }
       }
       case FULL -> {
         searcher.unheard = Duration.ZERO;
-        pressed(trip, now);
+        settle(trip, now, true);
       }
-      case TIMED_OUT -> pressed(trip, now);
+      case TIMED_OUT -> settle(trip, now, true);
       case ERROR, BROKEN, UNREACHABLE -> {
         searcher.errors.add(now, 1);
-        searcher.settled.add(now, 1);
+        settle(trip, now, false);
         searcher.unheard = Duration.ZERO;
         judge(searcher, now);
       }
@@ -440,12 +443,12 @@
     }
   }
 
-  private void pressed(Trip trip, Duration now) {
-    if (!trip.judgedLate) {
-      surveyedAt = null;
-      trip.judgedLate = true;
-      trip.searcher.settled.add(now, 1);
-      trip.searcher.pressed.add(now, 1);
+  /** Books a trip to the pressure, once. What one bad searcher or zone does must not narrow every scan. */
+  private void settle(Trip trip, Duration now, boolean refusedOrLate) {
+    if (!trip.settled && trip.searcher.benchedUntil == null) {
+      trip.settled = true;
+      settled.add(now, 1);
+      pressed.add(now, refusedOrLate ? 1 : 0);
     }
   }
 
@@ -589,7 +592,7 @@
   /** What is still out near the quoted time has timed out, whether the scan is answered without it or not. */
   private void timeOut(Scan scan, Duration now) {
     for (Part part : scan.parts) {
-      part.trips.stream().filter(trip -> trip.outcome == null).forEach(trip -> pressed(trip, now));
+      part.trips.stream().filter(trip -> trip.outcome == null).forEach(trip -> settle(trip, now, true));
     }
   }
 
@@ -629,7 +632,7 @@
 
   /**
    * Measures what hangs on all searchers, once for each moment: the fleet's pace, the span between answers
-   * to this mixer (waits that have not ended, and may never, are left out of it), and the pressure.
+   * to this mixer (waits that have not ended, and may never, are left out of it).
    */
   private void survey(Duration now) {
     if (now.equals(surveyedAt)) {
@@ -639,28 +642,22 @@
     double busy = 0;
     double gaps = 0;
     double answers = 0;
-    double settled = turnedAway.sum(now);
-    double pressed = settled;
     for (Searcher searcher : active) {
       double its = searcher.busy.sum(now);
       busy += its;
       gaps += Math.max(0, its - searcher.unheard.toNanos());
       answers += searcher.answers.sum(now);
-      // what one bad searcher or zone does is not the load's doing and must not narrow every scan
-      if (searcher.benchedUntil == null) {
-        settled += searcher.settled.sum(now);
-        pressed += searcher.pressed.sum(now);
-      }
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
     usualGap = gaps / Math.max(1, answers);
-    pressure = settled == 0 ? 0 : pressed / settled;
   }
 
+  /** Over the design's window, or over a longer one where that holds too few parts to tell a share. */
   private double pressure(Duration now) {
-    survey(now);
-    return pressure;
+    int window = (int) (STAY_BUCKETS * PRESSURE_WINDOW.toNanos() / PRESSURE_MEMORY.toNanos()) + 1;
+    int back = Math.max(window, settled.back(now, SETTLED_TELLING));
+    return pressed.sum(now, back) / Math.max(1, settled.sum(now, back));
   }
 
   private void lookRound() {
@@ -768,7 +765,7 @@
     Duration now = arriving();
     // what is out at a searcher that has gone, or has started anew, will not come back
     for (Searcher searcher : roster.told(lines, all,
-        id -> new Searcher(id, HEALTH_WINDOW, PRESSURE_WINDOW, tipAfter, BUCKETS))) {
+        id -> new Searcher(id, HEALTH_WINDOW, tipAfter, BUCKETS))) {
       searcher.benchedUntil = null;
       searcher.forget();
     }
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -25,23 +25,18 @@
   public final TimeRing answers;
   public final TimeRing errors;
   public final TimeRing sends;
-  /** Own parts that came to an end here, and those of them that were refused as full or timed out. */
-  public final TimeRing settled;
-  public final TimeRing pressed;
   /** Null while it is trusted; else when it may next be tried. */
   public Duration benchedUntil;
   public Duration benchSpan;
   public boolean probing;
   public int trialsLeft;
 
-  public Searcher(SearcherId id, Duration window, Duration pressureWindow, Duration coldWindow, int buckets) {
+  public Searcher(SearcherId id, Duration window, Duration coldWindow, int buckets) {
     this.id = id;
     busy = new TimeRing(window, buckets);
     held = new TimeRing(window, buckets);
     answers = new TimeRing(window, buckets);
     errors = new TimeRing(window, buckets);
-    settled = new TimeRing(pressureWindow, buckets);
-    pressed = new TimeRing(pressureWindow, buckets);
     sends = new TimeRing(coldWindow, buckets);
   }
 
@@ -52,7 +47,7 @@
   /** Nothing of it is out, recent or benched. */
   public boolean quiet(Duration now) {
     return out.isEmpty() && benchedUntil == null && busy.sum(now) == 0 && answers.sum(now) == 0
-        && errors.sum(now) == 0 && settled.sum(now) == 0;
+        && errors.sum(now) == 0;
   }
 
   /** Drops what was measured of it: it is to be judged anew. */
--- a/src/main/java/gingerring/decide/Trip.java
+++ b/src/main/java/gingerring/decide/Trip.java
@@ -10,7 +10,7 @@
   public final Call call;
   public Outcome outcome;
   public Duration ended;
-  public boolean judgedLate;
+  public boolean settled;
 
   public Trip(Part part, Searcher searcher, Duration sent, Call call) {
     this.part = part;
