--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -23,8 +23,6 @@
 public final class Mixer {
   // The design's starting values.
   private static final Duration PRESSURE_WINDOW = Duration.ofSeconds(2);
-  private static final Duration PRESSURE_MEMORY = Duration.ofSeconds(8);
-  private static final double SETTLED_TELLING = 20;
   private static final double PRESSURE_BOUND = 0.1;
   private static final double COVERAGE_STEP = 0.1;
   private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
@@ -104,8 +102,8 @@
 
   private final TimeRing firsts = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   private final TimeRing extras = new TimeRing(PRESSURE_WINDOW, BUCKETS);
-  private final TimeRing settled = new TimeRing(PRESSURE_MEMORY, STAY_BUCKETS);
-  private final TimeRing pressed = new TimeRing(PRESSURE_MEMORY, STAY_BUCKETS);
+  private final TimeRing settled = new TimeRing(PRESSURE_WINDOW, BUCKETS);
+  private final TimeRing pressed = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   /** Searchers with own parts out, recent evidence or a bench: a large roster is mostly none of these. */
   private final Set<Searcher> active = new LinkedHashSet<>();
   private Duration surveyedAt;
@@ -653,11 +651,8 @@
     usualGap = gaps / Math.max(1, answers);
   }
 
-  /** Over the design's window, or over a longer one where that holds too few parts to tell a share. */
   private double pressure(Duration now) {
-    int window = (int) (STAY_BUCKETS * PRESSURE_WINDOW.toNanos() / PRESSURE_MEMORY.toNanos()) + 1;
-    int back = Math.max(window, settled.back(now, SETTLED_TELLING));
-    return pressed.sum(now, back) / Math.max(1, settled.sum(now, back));
+    return pressed.sum(now) / Math.max(1, settled.sum(now));
   }
 
   private void lookRound() {
