--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -26,6 +26,8 @@
   private static final double PRESSURE_BOUND = 0.1;
   private static final double COVERAGE_STEP = 0.1;
   private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
+  /** How far above the floor the least target stays. */
+  private static final double HEADROOM = 1.1;
   /** How far a scan is narrowed at once for each share of its parts that is expected to be late. */
   private static final double NARROWING = 2;
 
@@ -213,11 +215,12 @@
 
   /**
    * The parts to send. What the stays of late let expect to time out narrows a scan at once: a mixer with few
-   * scans would learn of a burst when it has passed.
+   * scans would learn of a burst when it has passed. And it leaves room above the floor: a scan of just its
+   * floor falls to a single late part, and all its work is lost.
    */
   private List<Part> select(Scan scan, List<Part> arrived, Duration now) {
-    double expected = 1 - NARROWING * lateShare(scan.quoted.minus(now), now);
-    double target = Math.max(Math.min(coverage, expected), least(scan));
+    double late = lateShare(scan.quoted.minus(now), now);
+    double target = Math.max(Math.min(coverage, 1 - NARROWING * late), least(scan) * HEADROOM / (1 - late));
     if (target >= 1) {
       return arrived;
     }
