Place the parts with the fewest trusted holders first

Told from a general overload by the spread of stays between searchers. Ought to serve any loss of holders.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -152,7 +152,11 @@
     // each to the replica with the fewest own parts out, if one can be expected to answer in time
     double placed = 0;
     double late = 0;
-    for (Part part : selected) {
+    // least choice first, so that others go around the last holders of a shard
+    selected.forEach(part -> part.choices = (int) roster.holders(part.shard).stream()
+        .filter(Mixer::trusted).count());
+    Comparator<Part> leastChoice = Comparator.comparingInt(part -> part.choices);
+    for (Part part : selected.stream().sorted(leastChoice).toList()) {
       if (plan(part, now)) {
         placed += part.weight;
       } else if (roster.holders(part.shard).stream()
@@ -288,11 +292,12 @@
   }
 
   /**
-   * The share of parts sent now that would come late, as stays scatter like waits in a line. None on old news:
-   * a mixer that nacks all it gets learns nothing more, and must let a scan through now and then.
+   * The share of parts sent now that would come late, as stays scatter like waits in a line. None on old
+   * news: a mixer that nacks all it gets learns nothing more, and must let a scan through now and then.
    */
   private double lateShare(Duration left, Duration now) {
-    return usualStay(now) == 0 || now.minus(stayNoted).compareTo(FRESH) > 0 ? 0 : Math.exp(-left.toNanos() / usualStay(now));
+    boolean known = usualStay(now) > 0 && now.minus(stayNoted).compareTo(FRESH) <= 0;
+    return known ? Math.exp(-left.toNanos() / usualStay(now)) : 0;
   }
 
   /** How long trips of late were out for each answer; 0 where too few were answered. */
@@ -560,9 +565,9 @@
   }
 
   /**
-   * Stays are booked scan by scan: single answers would tell of the quick half of a scan first and of the slow
-   * half last. The time of trips given up counts too, as answers alone tell only of stays under the quoted
-   * time; but a benched searcher keeps parts for reasons that tell nothing of the others.
+   * Stays are booked scan by scan: single answers would tell of the quick half of a scan first and of the
+   * slow half last. The time of trips given up counts too, as answers alone tell only of stays under the
+   * quoted time; but a benched searcher keeps parts for reasons that tell nothing of the others.
    */
   private void noteStay(Trip trip, Duration now) {
     if ((trip.outcome == null || !trip.outcome.neverRan) && trip.searcher.benchedUntil == null) {
--- a/src/main/java/gingerring/decide/Part.java
+++ b/src/main/java/gingerring/decide/Part.java
@@ -16,6 +16,8 @@
   /** The end of the host's patience with this part was told: nothing may be sent for it. */
   public boolean over;
   public Searcher planned;
+  /** How many trusted searchers hold its shard. */
+  public int choices;
 
   public Part(PartId id, int shard, double weight, long key) {
     this.id = id;
--- a/src/test/java/gingerring/decide/MixerTest.java
+++ b/src/test/java/gingerring/decide/MixerTest.java
@@ -67,6 +67,13 @@
     assertEquals(stage.sent.get(0).searcher(), stage.sent.get(2).searcher());
   }
 
+  @Test void partsWithAChoiceGoAroundTheLastHolderOfAShard() {
+    Stage stage = new Stage("Domain.Places", "8").fleet(8);
+    stage.mixer.rosterTold(List.of(line(1, 1, Listing.Standing.GONE, null)), false);
+    stage.scan(1, 0.25, 0.25, 0.25, 0.25);
+    assertEquals(4, stage.sent.stream().map(Stage.Sent::searcher).distinct().count());
+  }
+
   @Test void answersPartiallyNearTheQuotedTimeAndNeverUnderTheFloor() {
     Stage stage = new Stage(PARTIAL).fleet(4);
     stage.scan(1, 0.5, 0.5);
