--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -40,7 +40,7 @@
   /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
   private static final double LATE_PARTS = 1.5;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
-  private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
+  private static final Duration HEALTH_WINDOW = Duration.ofSeconds(8);
   private static final int BUCKETS = 12;
   private static final Duration LOOK_ROUND = Duration.ofMillis(100);
   /** So many rounds without one: the mixer itself stood still. */
