--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -655,7 +655,8 @@
       answers += searcher.answers.sum(now);
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
-    fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
+    boolean fresh = now.minus(stayNoted).compareTo(FRESH) <= 0;
+    fleetPace = answers < ANSWERS_TELLING || !fresh ? 0 : busy / answers;
     usualGap = gaps / Math.max(1, answers);
   }
 
