--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -40,7 +40,7 @@
   /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
   private static final double LATE_PARTS = 1.5;
   /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
-  private static final Duration HEALTH_WINDOW = Duration.ofSeconds(8);
+  private static final Duration HEALTH_WINDOW = Duration.ofSeconds(5);
   private static final int BUCKETS = 12;
   private static final Duration LOOK_ROUND = Duration.ofMillis(100);
   /** So many rounds without one: the mixer itself stood still. */
@@ -655,8 +655,7 @@
       answers += searcher.answers.sum(now);
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
-    boolean fresh = now.minus(stayNoted).compareTo(FRESH) <= 0;
-    fleetPace = answers < ANSWERS_TELLING || !fresh ? 0 : busy / answers;
+    fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
     usualGap = gaps / Math.max(1, answers);
   }
 
