--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -39,8 +39,15 @@
   private static final double STAY_SHARE = 0.65;
   /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
   private static final double LATE_PARTS = 1.5;
-  /** Over how long a searcher's pace, errors and waits are measured: some tens of parts. */
-  private static final Duration HEALTH_WINDOW = Duration.ofSeconds(5);
+  /**
+   * The fleet's pace is that of the last seconds, and so is a searcher's where so many answers tell it; else
+   * the window of a searcher grows until they do, since at a quiet mixer they come seconds apart.
+   */
+  private static final Duration HEALTH_WINDOW = Duration.ofSeconds(3);
+  private static final Duration HEALTH_MEMORY = Duration.ofSeconds(10);
+  private static final int HEALTH_BUCKETS = 20;
+  private static final int RECENT = 7;
+  private static final double OWN_TELLING = 6;
   private static final int BUCKETS = 12;
   private static final Duration LOOK_ROUND = Duration.ofMillis(100);
   /** So many rounds without one: the mixer itself stood still. */
@@ -315,7 +322,8 @@
   private Duration stay(Searcher searcher, Duration now) {
     Duration pace = pace(searcher, now);
     double out = searcher.out.size() + searcher.plannedParts + 1;
-    double usual = Math.max(1, searcher.held.sum(now) / Math.max(1, searcher.busy.sum(now)));
+    int back = Math.max(RECENT, searcher.answers.back(now, OWN_TELLING));
+    double usual = Math.max(1, searcher.held.sum(now, back) / Math.max(1, searcher.busy.sum(now, back)));
     return Duration.ofNanos((long) (pace.toNanos() * (usual + OWN_SHARE * (out - usual))));
   }
 
@@ -330,8 +338,9 @@
     if (usual == 0) {
       return Duration.ZERO;
     }
-    return Duration.ofNanos((long) ((searcher.busy.sum(now) + ANSWERS_LENT * usual)
-        / (searcher.answers.sum(now) + ANSWERS_LENT)));
+    int back = Math.max(RECENT, searcher.answers.back(now, OWN_TELLING));
+    return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + ANSWERS_LENT * usual)
+        / (searcher.answers.sum(now, back) + ANSWERS_LENT)));
   }
 
   private int load(Searcher searcher, Duration now) {
@@ -649,10 +658,10 @@
     double gaps = 0;
     double answers = 0;
     for (Searcher searcher : active) {
-      double its = searcher.busy.sum(now);
+      double its = searcher.busy.sum(now, RECENT);
       busy += its;
       gaps += Math.max(0, its - searcher.unheard.toNanos());
-      answers += searcher.answers.sum(now);
+      answers += searcher.answers.sum(now, RECENT);
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
@@ -722,14 +731,15 @@
       return;
     }
     survey(now);
-    double errors = searcher.errors.sum(now);
+    double errors = searcher.errors.sum(now, RECENT);
+    double ended = errors + searcher.answers.sum(now, RECENT);
     double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * usualGap);
     searcher.noteBusy(now);
     // only time with own parts out counts, and only from the last word on: a busy searcher still answers
     // now and then; and a cold one takes its time
     if (searcher.unheard.toNanos() > silence / warmth(searcher, now)) {
       bench(searcher, "silent");
-    } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * (errors + searcher.answers.sum(now))) {
+    } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * ended) {
       bench(searcher, "errors");
     }
   }
@@ -768,7 +778,7 @@
     Duration now = arriving();
     // what is out at a searcher that has gone, or has started anew, will not come back
     for (Searcher searcher : roster.told(lines, all,
-        id -> new Searcher(id, HEALTH_WINDOW, tipAfter, BUCKETS))) {
+        id -> new Searcher(id, HEALTH_MEMORY, HEALTH_BUCKETS, tipAfter, BUCKETS))) {
       searcher.benchedUntil = null;
       searcher.forget();
     }
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -31,13 +31,13 @@
   public boolean probing;
   public int trialsLeft;
 
-  public Searcher(SearcherId id, Duration window, Duration coldWindow, int buckets) {
+  public Searcher(SearcherId id, Duration window, int buckets, Duration coldWindow, int coldBuckets) {
     this.id = id;
     busy = new TimeRing(window, buckets);
     held = new TimeRing(window, buckets);
     answers = new TimeRing(window, buckets);
     errors = new TimeRing(window, buckets);
-    sends = new TimeRing(coldWindow, buckets);
+    sends = new TimeRing(coldWindow, coldBuckets);
   }
 
   public boolean ready() {
