--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -59,7 +59,7 @@
   private static final double ERRORS_LEAST = 2;
   private static final double ERROR_SHARE = 0.4;
   /** The fleet's pace counts in each searcher's as so many answers, once so many tell it. */
-  private static final double ANSWERS_LENT = 6;
+  private static final double ANSWERS_LENT = 2;
   private static final double ANSWERS_TELLING = 10;
   /** How much of a pace a further own part adds to a line that it shares with others' parts. */
   private static final double OWN_SHARE = 0.5;
