--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -29,7 +29,7 @@
   /** How far above the floor the least target stays. */
   private static final double HEADROOM = 1.1;
   /** How far a scan is narrowed at once for each share of its parts that is expected to be late. */
-  private static final double NARROWING = 2;
+  private static final double NARROWING = 0;
 
   /** How long before the quoted time a partial answer goes out: a few round trips and ticks. */
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
