--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -28,8 +28,9 @@
   private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
   /** How far above the floor the least target stays. */
   private static final double HEADROOM = 1.1;
-  /** How far a scan is narrowed at once for each share of its parts that is expected to be late. */
-  private static final double NARROWING = 0;
+  /** Of fewer parts the pressure tells too little; then a scan narrows at once by its expected late share. */
+  private static final double PRESSURE_TELLING = 20;
+  private static final double NARROWING = 2;
 
   /** How long before the quoted time a partial answer goes out: a few round trips and ticks. */
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
@@ -225,13 +226,14 @@
   }
 
   /**
-   * The parts to send. What the stays of late let expect to time out narrows a scan at once: a mixer with few
-   * scans would learn of a burst when it has passed. And it leaves room above the floor: a scan of just its
-   * floor falls to a single late part, and all its work is lost.
+   * The parts to send. At a mixer with few scans, which would learn of a burst when it has passed, what the
+   * stays of late let expect to time out narrows a scan at once. And it leaves room above the floor: a scan
+   * of just its floor falls to a single late part, and all its work is lost.
    */
   private List<Part> select(Scan scan, List<Part> arrived, Duration now) {
     double late = lateShare(scan.quoted.minus(now), now);
-    double target = Math.max(Math.min(coverage, 1 - NARROWING * late), least(scan) * HEADROOM / (1 - late));
+    double expected = settled.sum(now) < PRESSURE_TELLING ? 1 - NARROWING * late : 1;
+    double target = Math.max(Math.min(coverage, expected), least(scan) * HEADROOM / (1 - late));
     if (target >= 1) {
       return arrived;
     }
