--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -28,10 +28,6 @@
   private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
   /** How far above the floor the least target stays. */
   private static final double HEADROOM = 1.1;
-  /** Of fewer parts the pressure tells too little; then a scan narrows at once by its expected late share. */
-  private static final double PRESSURE_TELLING = 20;
-  private static final double NARROWING = 2;
-
   /** How long before the quoted time a partial answer goes out: a few round trips and ticks. */
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
@@ -226,14 +222,12 @@
   }
 
   /**
-   * The parts to send. At a mixer with few scans, which would learn of a burst when it has passed, what the
-   * stays of late let expect to time out narrows a scan at once. And it leaves room above the floor: a scan
-   * of just its floor falls to a single late part, and all its work is lost.
+   * The parts to send: down to the coverage, with room above the floor by what stays of late let expect. A
+   * scan of just its floor falls to a single late part, and all its work is lost.
    */
   private List<Part> select(Scan scan, List<Part> arrived, Duration now) {
     double late = lateShare(scan.quoted.minus(now), now);
-    double expected = settled.sum(now) < PRESSURE_TELLING ? 1 - NARROWING * late : 1;
-    double target = Math.max(Math.min(coverage, expected), least(scan) * HEADROOM / (1 - late));
+    double target = Math.max(coverage, least(scan) * HEADROOM / (1 - late));
     if (target >= 1) {
       return arrived;
     }
