Take cold turns at the mixer's own rate, after a first part that is free

Turns now last as long as the mixer's own share of a cold searcher's work takes to make one part, and the time of warm searchers counts all that are trusted, not only those that answered in 3 s, which at size is few. May overload slow starters.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -364,10 +364,10 @@
   /**
    * The cold guard: in any window of the rule's length a searcher that started lately gets at most its
    * present share, times COLD_SHARE of the rule's multiple, of what warm searchers have answered this mixer
-   * in such a time over the last half minute; every trip and copy counts from its first instant. What was
-   * answered is never more than could be borne, so mixers that all keep to this stay under the rule
-   * together. The long memory serves a fleet that starts all at once. The guard also keeps a slow starter
-   * from drawing parts because it has none out; it may leave a fast starter idle.
+   * in such a time over the last half minute; every trip and copy counts from its first instant. Less than a
+   * part a window is taken as single parts in turns. What was answered could be borne, so mixers that all
+   * keep to this stay under the rule together. The long memory serves a fleet that starts all at once. The
+   * guard also keeps a slow starter from drawing parts because it has none out; it may idle a fast one.
    */
   private boolean coldRoom(Searcher searcher, Duration now) {
     if (!cold(searcher, now)) {
@@ -376,8 +376,9 @@
     // a mixer that has not yet seen a full window of its searchers does not overrate them
     double seen = Math.max(warmTime.sum(now), (double) tipAfter.toNanos() * roster.all().size());
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
-    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(coldTurn) > 0;
     double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
+    Duration turn = allowed > 0 ? min(coldTurn, scale(tipAfter, 1 / allowed)) : coldTurn;
+    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(turn) > 0;
     return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
   }
 
@@ -680,14 +681,13 @@
       coverage = moved;
     }
     active.removeIf(searcher -> searcher.quiet(now));
+    // a benched searcher bears nothing: its time is not time of a warm one
+    warmTime.add(now, LOOK_ROUND.toNanos()
+        * roster.all().stream().filter(each -> trusted(each) && !cold(each, now)).count());
     // a copy, since a bench may send copies to searchers that were not active
     for (Searcher searcher : List.copyOf(active)) {
       judge(searcher, now);
       copyLate(searcher, now);
-      // a searcher that answers nothing bears nothing: its time is not time of a warm one
-      if (searcher.answers.sum(now) > 0 && !cold(searcher, now)) {
-        warmTime.add(now, LOOK_ROUND.toNanos());
-      }
       if (searcher.benchedUntil != null && searcher.benchedUntil.compareTo(now) <= 0 && !searcher.probing) {
         if (terms.flag("PolicyLimits.Probing") && searcher.ready()) {
           searcher.probing = true;
