--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -79,9 +79,6 @@
   private static final Duration STAY_MEMORY = Duration.ofSeconds(20);
   private static final int STAY_BUCKETS = 40;
   private static final Duration FRESH = Duration.ofSeconds(3);
-  /** So many parts that broke their searchers are no chance; a repeat of such a scan is known for so long. */
-  private static final int BREAKS_LEAST = 2;
-  private static final Duration BREAKER_MEMORY = Duration.ofSeconds(20);
   /** How soon the roster is asked again after a failure, and as much again by chance. */
   private static final Duration ROSTER_RETRY = Duration.ofMillis(500);
   /** How far weights may sum up short for their rounding. */
@@ -123,7 +120,6 @@
   private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
   private final TimeRing stayed = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
   private Duration stayNoted = Duration.ZERO;
-  private final Map<Integer, Duration> breakers = new HashMap<>();
   private double coverage = 1;
   private Duration coverageMoved = Duration.ZERO;
   private Duration lastEvent = Duration.ZERO;
@@ -178,10 +174,7 @@
     // a wide scan that needs every part falls to its slowest: its work is lost and its client comes back
     boolean hopeless = !scan.grade.partial()
         && selected.size() * lateShare(scan.quoted.minus(now), now) > LATE_PARTS;
-    Duration brokeAt = repeat || !terms.flag("ClientHabits.MarksRetry") ? breakers.get(scan.likeness()) : null;
-    boolean breaks = brokeAt != null && now.minus(brokeAt).compareTo(BREAKER_MEMORY) < 0;
-    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0 && !hopeless
-        && !breaks;
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0 && !hopeless;
     for (Part part : selected) {
       if (enough && part.planned != null) {
         firsts.add(now, 1);
@@ -427,30 +420,12 @@
     if (outcome == Outcome.SUCCEEDED) {
       part.in = true;
       recallTrips(part);
-    } else if (breaksSearchers(part.scan, now)) {
-      giveUp(part.scan);
     } else if (!part.out()) {
       sendAgain(part, now);
     }
     settle(part.scan);
   }
 
-  /**
-   * A scan most of whose ended parts took their searchers' connections with them is held to have broken them:
-   * it is carried to no other holder, and not sent again when its client repeats it. Guards against scans
-   * that bring searchers down, whatever they have in common; a scan that only stood in a lost zone is nacked
-   * for nothing.
-   */
-  private boolean breaksSearchers(Scan scan, Duration now) {
-    long broken = scan.parts.stream().filter(part -> part.ended(Outcome.BROKEN)).count();
-    long in = scan.parts.stream().filter(part -> part.in).count();
-    if (broken < BREAKS_LEAST || broken <= in) {
-      return false;
-    }
-    breakers.put(scan.likeness(), now);
-    return true;
-  }
-
   /** Books an ended trip to its searcher: its load, its pace, its errors. */
   private void note(Trip trip, Duration now) {
     Searcher searcher = trip.searcher;
--- a/src/main/java/gingerring/decide/Part.java
+++ b/src/main/java/gingerring/decide/Part.java
@@ -35,16 +35,6 @@
     return false;
   }
 
-  /** One of its trips has ended so. */
-  public boolean ended(Outcome outcome) {
-    for (Trip trip : trips) {
-      if (trip.outcome == outcome) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** When the first trip that may have run was sent, or null where none may have. */
   public Duration mayHaveRunSince() {
     for (Trip trip : trips) {
--- a/src/main/java/gingerring/decide/Scan.java
+++ b/src/main/java/gingerring/decide/Scan.java
@@ -36,15 +36,6 @@
     return secondStep ? parts.subList(firstParts, parts.size()) : parts;
   }
 
-  /** The same for scans of like parts, as a client's repeats of a scan are. */
-  public int likeness() {
-    int like = parts.size();
-    for (Part part : parts) {
-      like += 31 * part.shard + Double.hashCode(part.weight);
-    }
-    return 31 * like + (int) grade.patience.toMillis();
-  }
-
   public void beginSecondStep(boolean whole) {
     secondStep = true;
     firstParts = parts.size();
