--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -27,7 +27,7 @@
   private static final double COVERAGE_STEP = 0.1;
   private static final Duration COVERAGE_PACE = Duration.ofSeconds(1);
   /** How far above the floor the least target stays. */
-  private static final double HEADROOM = 1.1;
+  private static final double HEADROOM = 1.25;
   /** How long before the quoted time a partial answer goes out: a few round trips and ticks. */
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(50);
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
@@ -73,7 +73,6 @@
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
-  private static final int COLD_WINDOWS = 5;
   private static final Duration WARM_MEMORY = Duration.ofSeconds(30);
   /** The usual stay is that of the latest so many answers, from so long ago at most: scans may be rare. */
   private static final double STAYS_TELLING = 60;
@@ -366,7 +365,7 @@
    * The cold guard: in any window of the rule's length a searcher that started lately gets at most its
    * present share, times COLD_SHARE of the rule's multiple, of what warm searchers have answered this mixer
    * in such a time over the last half minute; every trip and copy counts from its first instant. Less than a
-   * part a window is taken as single parts, counted over some windows. What was answered could be borne, so mixers that all
+   * part a window is taken as single parts in turns. What was answered could be borne, so mixers that all
    * keep to this stay under the rule together. The long memory serves a fleet that starts all at once. The
    * guard also keeps a slow starter from drawing parts because it has none out; it may idle a fast one.
    */
@@ -378,8 +377,8 @@
     double seen = Math.max(warmTime.sum(now), (double) tipAfter.toNanos() * roster.all().size());
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
     double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
-    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(coldTurn) > 0
-        || searcher.latest.sum(now) + 1 <= COLD_WINDOWS * allowed;
+    Duration turn = allowed > 0 ? min(coldTurn, scale(tipAfter, 1 / allowed)) : coldTurn;
+    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(turn) > 0;
     return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
   }
 
@@ -775,7 +774,7 @@
     Duration now = arriving();
     // what is out at a searcher that has gone, or has started anew, will not come back
     for (Searcher searcher : roster.told(lines, all,
-        id -> new Searcher(id, HEALTH_MEMORY, HEALTH_BUCKETS, tipAfter, COLD_WINDOWS, BUCKETS))) {
+        id -> new Searcher(id, HEALTH_MEMORY, HEALTH_BUCKETS, tipAfter, BUCKETS))) {
       searcher.benchedUntil = null;
       searcher.forget();
     }
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -24,24 +24,20 @@
   public final TimeRing held;
   public final TimeRing answers;
   public final TimeRing errors;
-  /** Own trips sent in a window of the cold rule, and in some such windows. */
   public final TimeRing sends;
-  public final TimeRing latest;
   /** Null while it is trusted; else when it may next be tried. */
   public Duration benchedUntil;
   public Duration benchSpan;
   public boolean probing;
   public int trialsLeft;
 
-  public Searcher(SearcherId id, Duration window, int buckets, Duration coldWindow, int coldWindows,
-      int coldBuckets) {
+  public Searcher(SearcherId id, Duration window, int buckets, Duration coldWindow, int coldBuckets) {
     this.id = id;
     busy = new TimeRing(window, buckets);
     held = new TimeRing(window, buckets);
     answers = new TimeRing(window, buckets);
     errors = new TimeRing(window, buckets);
     sends = new TimeRing(coldWindow, coldBuckets);
-    latest = new TimeRing(coldWindow.multipliedBy(coldWindows), coldBuckets);
   }
 
   public boolean ready() {
@@ -90,7 +86,6 @@
     busySince = now;
     lastSent = now;
     sends.add(now, 1);
-    latest.add(now, 1);
     return trip;
   }
 
