--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -67,6 +67,8 @@
   /** Own ration of further trips, beside any that the rules set: so many, and so many for each first trip. */
   private static final double EXTRA_FEW = 2;
   private static final double EXTRA_SHARE = 0.1;
+  /** Long enough that a scan's first trips still count when its late parts are copied. */
+  private static final Duration EXTRA_WINDOW = Duration.ofSeconds(6);
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 3;
   private static final double COPY_STAYS = 4;
@@ -106,8 +108,8 @@
   private final TimeRing rationExtras;
   private final TimeRing rationTaken;
 
-  private final TimeRing firsts = new TimeRing(PRESSURE_WINDOW, BUCKETS);
-  private final TimeRing extras = new TimeRing(PRESSURE_WINDOW, BUCKETS);
+  private final TimeRing firsts = new TimeRing(EXTRA_WINDOW, BUCKETS);
+  private final TimeRing extras = new TimeRing(EXTRA_WINDOW, BUCKETS);
   private final TimeRing settled = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   private final TimeRing pressed = new TimeRing(PRESSURE_WINDOW, BUCKETS);
   /** Searchers with own parts out, recent evidence or a bench: a large roster is mostly none of these. */
