Cut booked stays off at the quoted time

An hours-report that misses a part stays open for nine seconds, and that part's wait counted whole in the usual stay, which made mixers hold later ones hopeless.

--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -574,13 +574,15 @@
 
   /**
    * Stays are booked scan by scan: single answers would tell of the quick half of a scan first and of the
-   * slow half last. The time of trips given up counts too, as answers alone tell only of stays under the
-   * quoted time; but a benched searcher keeps parts for reasons that tell nothing of the others.
+   * slow half last. All are cut off at the quoted time, and those cut off count by their time only, as answers
+   * alone would tell only of stays under it. What a benched searcher keeps tells nothing of the others.
    */
   private void noteStay(Trip trip, Duration now) {
     if ((trip.outcome == null || !trip.outcome.neverRan) && trip.searcher.benchedUntil == null) {
-      stays.add(now, (trip.outcome == null ? now : trip.ended).minus(trip.sent).toNanos());
-      stayed.add(now, trip.outcome == Outcome.SUCCEEDED ? 1 : 0);
+      Duration end = trip.outcome == null ? now : trip.ended;
+      boolean late = end.compareTo(trip.part.scan.quoted) > 0;
+      stays.add(now, max(Duration.ZERO, min(end, trip.part.scan.quoted).minus(trip.sent)).toNanos());
+      stayed.add(now, trip.outcome == Outcome.SUCCEEDED && !late ? 1 : 0);
       stayNoted = now;
     }
   }
