--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -574,8 +574,8 @@
 
   /**
    * Stays are booked scan by scan: single answers would tell of the quick half of a scan first and of the
-   * slow half last. All are cut off at the quoted time, and those cut off count by their time only, as answers
-   * alone would tell only of stays under it. What a benched searcher keeps tells nothing of the others.
+   * slow half last. All are cut off at the quoted time, and those cut off count by their time only, since
+   * answers alone would tell only of stays under it. What a benched searcher keeps tells nothing of others.
    */
   private void noteStay(Trip trip, Duration now) {
     if ((trip.outcome == null || !trip.outcome.neverRan) && trip.searcher.benchedUntil == null) {
