--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -33,7 +33,7 @@
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take, as stays scatter about it. */
-  private static final double STAY_SHARE = 0.5;
+  private static final double STAY_SHARE = 0.57;
   /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
   private static final double LATE_PARTS = 1.5;
   /**
