--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -33,7 +33,7 @@
   /** How long before its client's patience ends a scan is closed, so that its answer is in time. */
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take, as stays scatter about it. */
-  private static final double STAY_SHARE = 0.57;
+  private static final double STAY_SHARE = 0.5;
   /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
   private static final double LATE_PARTS = 1.5;
   /**
@@ -70,7 +70,7 @@
   /** Long enough that a scan's first trips still count when its late parts are copied. */
   private static final Duration EXTRA_WINDOW = Duration.ofSeconds(6);
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
-  private static final double LATE_STAYS = 3;
+  private static final double LATE_STAYS = 4;
   private static final double COPY_STAYS = 4;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
