--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -501,7 +501,7 @@
         && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
-  /** Further trips feed a jam: their number follows that of first trips, and none goes out under pressure. */
+  /** Further trips feed a jam: their number follows that of first trips. */
   private boolean withinRation(Duration now) {
     return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
   }
@@ -775,8 +775,8 @@
 
   /** The roster has been told: all of it, or what changed. */
   public void rosterTold(List<Listing> lines, boolean all) {
-    Duration now = arriving();
-    // what is out at a searcher that has gone, or has started anew, will not come back
+    arriving();
+    // a searcher that has gone, or has started anew, is judged anew; what was out there will be late
     for (Searcher searcher : roster.told(lines, all,
         id -> new Searcher(id, HEALTH_MEMORY, HEALTH_BUCKETS, tipAfter, BUCKETS))) {
       searcher.benchedUntil = null;
