--- a/src/test/java/gingerring/decide/MixerTest.java
+++ b/src/test/java/gingerring/decide/MixerTest.java
@@ -67,6 +67,42 @@
     assertEquals(stage.sent.get(0).searcher(), stage.sent.get(2).searcher());
   }
 
+  @Test void leavesRoomAboveTheFloorUnderPressure() {
+    Stage stage = new Stage(PARTIAL).fleet(4);
+    for (int second = 0; second < 12; second++) {
+      int first = stage.sent.size();
+      stage.scan(second, 0.1, 0.2, 0.5, 0.2);
+      for (int j = first; j < stage.sent.size(); j++) {
+        stage.end(j, Outcome.FULL);
+      }
+      stage.pass(1000);
+    }
+    int first = stage.sent.size();
+    stage.scan(50, 0.4, 0.3, 0.3);
+    assertEquals(2, stage.sent.size() - first);
+  }
+
+  @Test void amongManyMixersAColdSearcherGetsPartsInTurnsOfTheMixersOwnRate() {
+    Stage stage = new Stage("FleetSize", "100").fleet(4);
+    for (int i = 0; i < 8; i++) {
+      stage.scan(100 + i, 0.25, 0.25, 0.25, 0.25);
+      for (int j = 4 * i; j < 4 * i + 4; j++) {
+        stage.end(j, Outcome.SUCCEEDED);
+      }
+      stage.pass(4000);
+    }
+    stage.mixer.rosterTold(List.of(line(0, 0, Listing.Standing.GONE, null),
+        line(1, 1, Listing.Standing.GONE, null), line(5, 1, Listing.Standing.READY, stage.now)), false);
+    int first = stage.sent.size();
+    for (int i = 0; i < 3; i++) {
+      stage.scan(i, 1);
+      stage.end(stage.sent.size() - 1, Outcome.SUCCEEDED);
+      stage.pass(i == 0 ? 1000 : 7000);
+    }
+    assertEquals(2, stage.sent.size() - first);
+    assertEquals("nack", stage.finals.get(new ScanId(1)));
+  }
+
   @Test void partsWithAChoiceGoAroundTheLastHolderOfAShard() {
     Stage stage = new Stage("Domain.Places", "8").fleet(8);
     stage.mixer.rosterTold(List.of(line(1, 1, Listing.Standing.GONE, null)), false);
