--- a/src/main/java/gingerring/Main.java
+++ b/src/main/java/gingerring/Main.java
@@ -1,6 +1,7 @@
 package gingerring;
 
 import gingerring.drill.Drill;
+import gingerring.serve.Serve;
 import java.io.IOException;
 
 /** The command line: one subcommand for each way to run the router. */
@@ -11,7 +12,11 @@
     if (args.length == 1 && args[0].equals("drill")) {
       System.exit(new Drill(System.in, System.out).run(System.err));
     }
+    if (args.length == 1 && args[0].equals("serve")) {
+      System.exit(Serve.run(System.getenv(), System.err));
+    }
     System.err.println("usage: java -jar gingerring.jar drill    (decides on the bench's wire)");
+    System.err.println("       java -jar gingerring.jar serve    (a real mixer, as LB_CONFIG tells)");
     System.exit(2);
   }
 }
--- /dev/null
+++ b/src/main/java/gingerring/back/Back.java
@@ -0,0 +1,230 @@
+package gingerring.back;
+
+import gingerring.decide.Outcome;
+import gingerring.decide.SearcherId;
+import gingerring.decide.Terms;
+import gingerring.net.Counts;
+import gingerring.net.Network;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The searchers' side: carries errands and probes out, and tells how each ended, once. */
+public final class Back {
+  static final int OUT_MOST = 1 << 18;
+  private static final Logger LOG = LoggerFactory.getLogger("gingerring.back");
+  private static final Duration SWEEP = Duration.ofSeconds(1);
+  private static final Duration COMPLAINTS_APART = Duration.ofSeconds(5);
+  private static final float[] NONE = {};
+
+  private final Network network;
+  private final Returns returns;
+  private final Counts counts;
+  private final Supplier<Duration> clock;
+  private final BiConsumer<Duration, Runnable> wakeAfter;
+  private final LoadReports reports;
+  private final int batch;
+  private final int streams;
+  private final Duration dialTimeOut;
+  private final Duration idleMost;
+  private final boolean cancels;
+  private final char probeLetter;
+  private final Map<SearcherId, Station> stations = new TreeMap<>();
+  private final Set<Station> busy = new LinkedHashSet<>();
+  private Duration complained;
+
+  public Back(Network network, Returns returns, Terms terms, Counts counts, Supplier<Duration> clock,
+      BiConsumer<Duration, Runnable> wakeAfter) {
+    this.network = network;
+    this.returns = returns;
+    this.counts = counts;
+    this.clock = clock;
+    this.wakeAfter = wakeAfter;
+    reports = new LoadReports(terms);
+    batch = Math.max(1, (int) terms.number("Domain.Batch", 1));
+    streams = Math.max(1, terms.count("PolicyLimits.StreamsPerConn"));
+    dialTimeOut = terms.span("PolicyLimits.DialTimeoutMs");
+    // the searcher may close as early as its time for idle ones, and its word of that takes a moment
+    idleMost = terms.span("PolicyLimits.ConnIdleMs").minus(dialTimeOut);
+    cancels = terms.flag("PolicyLimits.Cancel");
+    // where reports come by probes alone, a probe asks for one
+    probeLetter = terms.has("LoadReport.Source") && terms.text("LoadReport.Source").equals("probe") ? 'M' : 'H';
+    wakeAfter.accept(SWEEP, this::sweep);
+  }
+
+  /** The list has this searcher, at an address, up since a moment (null: long ago). */
+  public void listed(SearcherId id, InetSocketAddress address, Duration startedAt) {
+    Station station = stations.computeIfAbsent(id, Station::new);
+    boolean moved = station.address != null && !station.address.equals(address);
+    station.address = address;
+    station.startedAt = startedAt;
+    for (Link link : List.copyOf(station.links)) {
+      if (startedAt != null && link.dialled.compareTo(startedAt) < 0) {
+        // it was made to a process that is no more: what was out there will not be answered
+        link.abandon();
+      } else if (moved) {
+        link.retire();
+      }
+    }
+  }
+
+  /** The list no longer has it: its links go as soon as nothing is out on them. */
+  public void gone(SearcherId id) {
+    Station station = stations.get(id);
+    if (station != null) {
+      List.copyOf(station.links).forEach(Link::retire);
+    }
+  }
+
+  /** Takes a trip along; it leaves with the others of this turn. */
+  public void send(Errand errand) {
+    Station station = stations.get(errand.searcher);
+    if (station == null) {
+      ended(errand, Outcome.UNREACHABLE);
+      return;
+    }
+    station.outgoing.add(errand);
+    busy.add(station);
+    wakeAfter.accept(errand.until.minus(now()), () -> {
+      if (!errand.done) {
+        if (errand.link != null) {
+          errand.link.timedOut(errand);
+        }
+        ended(errand, Outcome.TIMED_OUT);
+      }
+    });
+  }
+
+  /** Makes this turn's errands into calls, and puts those into their links' rings. */
+  public void dispatch() {
+    for (Station station : List.copyOf(busy)) {
+      station.outgoing.removeIf(Errand::done);
+      for (int i = 0; i < station.outgoing.size(); i += batch) {
+        List<Errand> call = new ArrayList<>(
+            station.outgoing.subList(i, Math.min(i + batch, station.outgoing.size())));
+        link(station, call).carry(call);
+      }
+      station.outgoing.clear();
+    }
+    busy.clear();
+  }
+
+  private Link link(Station station, List<Errand> call) {
+    for (Link link : station.links) {
+      if (link.takes(call, streams)) {
+        return link;
+      }
+    }
+    return dial(station);
+  }
+
+  private Link dial(Station station) {
+    counts.add("links dialled", 1);
+    Link link = new Link(this, station);
+    station.links.add(link);
+    return link;
+  }
+
+  public void recall(Errand errand) {
+    if (!errand.done && cancels) {
+      if (errand.link != null) {
+        errand.link.recall(errand);
+      }
+      ended(errand, Outcome.CALLED_OFF);
+    }
+  }
+
+  public void probe(SearcherId id) {
+    Station station = stations.get(id);
+    if (station == null) {
+      returns.probed(id, Outcome.UNREACHABLE, Duration.ZERO, NONE);
+      return;
+    }
+    Link link = station.links.stream().filter(each -> each.takes(List.of(), streams)).findFirst()
+        .orElseGet(() -> dial(station));
+    link.probe();
+  }
+
+  public void closeIdle(SearcherId id) {
+    Station station = stations.get(id);
+    if (station != null) {
+      station.links.stream().filter(Link::idle).toList().forEach(Link::close);
+    }
+  }
+
+  /** Closes what has stood idle for its time. */
+  private void sweep() {
+    for (Station station : stations.values()) {
+      station.links.stream().filter(Link::stale).toList().forEach(Link::close);
+    }
+    wakeAfter.accept(SWEEP, this::sweep);
+  }
+
+  /** Errands end once, whatever comes of them later. */
+  void ended(Errand errand, Outcome outcome) {
+    ended(errand, outcome, NONE, null);
+  }
+
+  void ended(Errand errand, Outcome outcome, float[] load, byte[] value) {
+    if (!errand.done) {
+      errand.done = true;
+      counts.add("trips " + outcome, 1);
+      returns.ended(errand, outcome, load, value);
+    }
+  }
+
+  void probed(Station station, Outcome outcome, Duration taken, float[] load) {
+    counts.add("probes " + outcome, 1);
+    returns.probed(station.id, outcome, taken, load == null ? NONE : load);
+  }
+
+  /** Counts what a searcher did wrong, and logs it once in a while. */
+  void complain(String what) {
+    counts.add("bad frames", 1);
+    if (complained == null || now().minus(complained).compareTo(COMPLAINTS_APART) > 0) {
+      complained = now();
+      LOG.warn(what);
+    }
+  }
+
+  Network network() {
+    return network;
+  }
+
+  Counts counts() {
+    return counts;
+  }
+
+  Duration now() {
+    return clock.get();
+  }
+
+  void wakeAfter(Duration span, Runnable task) {
+    wakeAfter.accept(span, task);
+  }
+
+  LoadReports reports() {
+    return reports;
+  }
+
+  Duration dialTimeOut() {
+    return dialTimeOut;
+  }
+
+  Duration idleMost() {
+    return idleMost;
+  }
+
+  char probeLetter() {
+    return probeLetter;
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/back/Link.java
@@ -0,0 +1,271 @@
+package gingerring.back;
+
+import gingerring.decide.Outcome;
+import gingerring.net.Connection;
+import gingerring.net.Party;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One connection to a searcher, with the calls and probes that are out on it. */
+final class Link implements Party {
+  /** A probe on its way, in the order in which its kind is answered. */
+  private static final class Probe {
+    final Duration sent;
+
+    Probe(Duration sent) {
+      this.sent = sent;
+    }
+  }
+
+  private final Back back;
+  private final Station station;
+  private final Connection connection;
+  private final Frames frames = new Frames();
+  /** Calls that wait for the connection to come up. */
+  private final Deque<List<Errand>> waiting = new ArrayDeque<>();
+  private final Map<String, Errand> out = new LinkedHashMap<>();
+  private final Deque<Probe> probes = new ArrayDeque<>();
+  private boolean probeWaits;
+  private boolean up;
+  /** Nothing new goes by it: it is closed once nothing is out on it. */
+  private boolean retired;
+  final Duration dialled;
+  private Duration used;
+  private Duration heard;
+
+  Link(Back back, Station station) {
+    this.back = back;
+    this.station = station;
+    dialled = back.now();
+    used = dialled;
+    heard = dialled;
+    connection = back.network().dial(station.address, Back.OUT_MOST, this);
+    back.wakeAfter(back.dialTimeOut(), () -> {
+      if (!up) {
+        connection.close();
+      }
+    });
+  }
+
+  /** Whether a call may go by this link now. */
+  boolean takes(List<Errand> call, int streams) {
+    return !retired && connection.usable() && out.size() + call.size() <= streams && !stale()
+        && call.stream().noneMatch(errand -> out.containsKey(errand.mark));
+  }
+
+  /** It has stood idle for so long that the searcher may be closing it. */
+  boolean stale() {
+    return out.isEmpty() && probes.isEmpty() && up
+        && back.now().minus(used).compareTo(back.idleMost()) >= 0;
+  }
+
+  boolean idle() {
+    return out.isEmpty() && probes.isEmpty() && !probeWaits;
+  }
+
+  void retire() {
+    retired = true;
+    closeIfSpent();
+  }
+
+  private void closeIfSpent() {
+    if (retired && idle()) {
+      connection.close();
+    }
+  }
+
+  void carry(List<Errand> call) {
+    for (Errand errand : call) {
+      errand.link = this;
+      out.put(errand.mark, errand);
+    }
+    used = back.now();
+    if (up) {
+      write(call);
+    } else {
+      waiting.add(call);
+    }
+  }
+
+  private void write(List<Errand> call) {
+    call = new ArrayList<>(call);
+    call.removeIf(errand -> errand.done);
+    if (call.isEmpty()) {
+      return;
+    }
+    if (!put(Frames.call(call, back.now()))) {
+      // the ring is full: the searcher does not read, and nothing of the call has left
+      back.counts().add("calls that found a full ring", 1);
+      for (Errand errand : call) {
+        out.remove(errand.mark);
+        back.ended(errand, Outcome.UNREACHABLE);
+      }
+      return;
+    }
+    call.forEach(errand -> errand.frameEnd = connection.out.position());
+  }
+
+  private boolean put(byte[] frame) {
+    used = back.now();
+    connection.touch();
+    return connection.out.put(frame);
+  }
+
+  /** Gives a trip up: the searcher is told where its frame has been put. */
+  void recall(Errand errand) {
+    out.remove(errand.mark);
+    if (errand.frameEnd >= 0 && connection.open()) {
+      put(Frames.recall(errand));
+    }
+    closeIfSpent();
+  }
+
+  /** A trip has timed out: nothing is sent, and a link that has told nothing since is not trusted on. */
+  void timedOut(Errand errand) {
+    out.remove(errand.mark);
+    if (heard.compareTo(dialled) <= 0 || back.now().minus(heard).compareTo(back.dialTimeOut()) > 0) {
+      retired = true;
+    }
+    closeIfSpent();
+  }
+
+  void probe() {
+    used = back.now();
+    if (up) {
+      writeProbe();
+    } else {
+      probeWaits = true;
+    }
+  }
+
+  private void writeProbe() {
+    probeWaits = false;
+    Probe probe = new Probe(back.now());
+    if (!put(Frames.frame(back.probeLetter(), new byte[0]))) {
+      back.probed(station, Outcome.UNREACHABLE, Duration.ZERO, null);
+      return;
+    }
+    probes.add(probe);
+    back.wakeAfter(back.dialTimeOut(), () -> {
+      if (probes.remove(probe)) {
+        // answers are matched by their order, so nothing more is asked on this link
+        retired = true;
+        back.probed(station, Outcome.TIMED_OUT, back.now().minus(probe.sent), null);
+        closeIfSpent();
+      }
+    });
+  }
+
+  @Override public void opened() {
+    up = true;
+    used = back.now();
+    if (probeWaits) {
+      writeProbe();
+    }
+    while (!waiting.isEmpty()) {
+      write(waiting.remove());
+    }
+  }
+
+  @Override public void readable() {
+    heard = back.now();
+    used = heard;
+    try {
+      frames.read(connection.in, this::frame);
+    } catch (Frames.Malformed e) {
+      back.complain("a searcher's frame could not be used: " + e.getMessage());
+      connection.in.clear();
+      connection.close();
+    }
+    closeIfSpent();
+  }
+
+  private void frame(char letter, byte[] rest) throws Frames.Malformed {
+    switch (letter) {
+      case 'R' -> result(rest);
+      case 'H', 'M' -> probed(letter, new String(rest, StandardCharsets.US_ASCII));
+      case 'F' -> throw new Frames.Malformed("F: " + new String(rest, 0, Math.min(rest.length, 80),
+          StandardCharsets.US_ASCII).replaceAll("[^ -~]", "?"));
+      default -> throw new Frames.Malformed("letter " + (int) letter);
+    }
+  }
+
+  private void result(byte[] rest) throws Frames.Malformed {
+    int end = 0;
+    while (end < rest.length && rest[end] != '\n') {
+      end++;
+    }
+    String[] words = new String(rest, 0, end, StandardCharsets.US_ASCII).split(" ", -1);
+    if (end == rest.length || words.length != 4) {
+      throw new Frames.Malformed("R without its line");
+    }
+    Outcome outcome = switch (words[1]) {
+      case "done" -> Outcome.SUCCEEDED;
+      case "failed" -> Outcome.ERROR;
+      case "full" -> Outcome.FULL;
+      default -> throw new Frames.Malformed("R with an unknown end");
+    };
+    float[] load = back.reports().read(words[3]);
+    Errand errand = out.remove(words[0]);
+    if (errand == null) {
+      // recalled, timed out or answered before, or never asked
+      back.counts().add("late answers", 1);
+      return;
+    }
+    if (errand.frameEnd < 0) {
+      throw new Frames.Malformed("R for a part that was not sent yet");
+    }
+    byte[] value = java.util.Arrays.copyOfRange(rest, end + 1, rest.length);
+    back.ended(errand, outcome, load, outcome == Outcome.SUCCEEDED ? value : null);
+  }
+
+  private void probed(char letter, String answer) throws Frames.Malformed {
+    Probe probe = letter == back.probeLetter() ? probes.poll() : null;
+    if (probe == null) {
+      back.counts().add("late probe answers", 1);
+      return;
+    }
+    boolean report = letter == 'M' && !answer.equals("failed");
+    if (letter == 'H' && !answer.equals("done") && !answer.equals("failed")) {
+      throw new Frames.Malformed("H with an unknown end");
+    }
+    back.probed(station, report || answer.equals("done") ? Outcome.SUCCEEDED : Outcome.ERROR,
+        back.now().minus(probe.sent), report ? back.reports().read(answer) : null);
+  }
+
+  /** The searcher's process is known to be gone: what is out ends now, before anything else is told of it. */
+  void abandon() {
+    connection.close();
+    closed();
+  }
+
+  /** Ends with what is out on it: what had left whole may have run. */
+  @Override public void closed() {
+    station.links.remove(this);
+    long written = connection.written();
+    for (Errand errand : new ArrayList<>(out.values())) {
+      back.ended(errand, up && errand.frameEnd >= 0 && errand.frameEnd <= written
+          ? Outcome.BROKEN : Outcome.UNREACHABLE);
+    }
+    out.clear();
+    waiting.clear();
+    if (probeWaits) {
+      back.probed(station, Outcome.UNREACHABLE, back.now().minus(dialled), null);
+    }
+    for (Probe probe : probes) {
+      back.probed(station, Outcome.BROKEN, back.now().minus(probe.sent), null);
+    }
+    probes.clear();
+    probeWaits = false;
+  }
+
+  void close() {
+    connection.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/discovery/Watch.java
@@ -0,0 +1,211 @@
+package gingerring.discovery;
+
+import gingerring.http.Head;
+import gingerring.http.HttpParser;
+import gingerring.http.HttpWriter;
+import gingerring.http.Malformed;
+import gingerring.json.Json;
+import gingerring.net.Connection;
+import gingerring.net.Counts;
+import gingerring.net.Network;
+import gingerring.net.Party;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Follows discovery: a watch that is held open, and the whole list where it is asked for. */
+public final class Watch {
+  /** Who is told. */
+  public interface Told {
+    void list(Members members);
+
+    /** The watch has ended, or a call failed; the list held stays. */
+    void failed();
+  }
+
+  private static final Logger LOG = LoggerFactory.getLogger("gingerring.discovery");
+  private static final String PATH = "/v1/endpoints";
+  private static final int OUT_MOST = 4096;
+  private static final int LINE_MOST = 1 << 20;
+  private static final long UNBOUNDED = Long.MAX_VALUE / 2;
+  /** An empty line comes every 2 s: three of them missing is silence. */
+  private static final Duration SILENCE = Duration.ofSeconds(6);
+  private static final Duration COMPLAINTS_APART = Duration.ofSeconds(10);
+
+  private final Network network;
+  private final InetSocketAddress address;
+  private final Told told;
+  private final Counts counts;
+  private final Supplier<Duration> clock;
+  private final BiConsumer<Duration, Runnable> wakeAfter;
+  private long revision;
+  private Call watch;
+  private Duration complained;
+
+  public Watch(Network network, InetSocketAddress address, long revision, Told told, Counts counts,
+      Supplier<Duration> clock, BiConsumer<Duration, Runnable> wakeAfter) {
+    this.network = network;
+    this.address = address;
+    this.revision = revision;
+    this.told = told;
+    this.counts = counts;
+    this.clock = clock;
+    this.wakeAfter = wakeAfter;
+  }
+
+  /** Opens the watch, if it is not open. */
+  public void open() {
+    if (watch == null) {
+      watch = new Call(true);
+    }
+  }
+
+  public void close() {
+    Call open = watch;
+    watch = null;
+    if (open != null) {
+      open.endQuietly();
+    }
+  }
+
+  /** Asks for the whole list once. */
+  public void fetch() {
+    new Call(false);
+  }
+
+  private void take(byte[] text) throws Json.Malformed {
+    Members members = Members.read(Json.read(text));
+    // a whole list replaces whatever was held; a change that was seen before says nothing new
+    if (members.complete() || members.revision() > revision) {
+      revision = members.revision();
+      counts.add("lists told", 1);
+      told.list(members);
+    }
+  }
+
+  private void complain(String what) {
+    counts.add("discovery failures", 1);
+    if (complained == null || clock.get().minus(complained).compareTo(COMPLAINTS_APART) > 0) {
+      complained = clock.get();
+      LOG.warn("discovery: {}", what);
+    }
+  }
+
+  /** One GET on a connection of its own. */
+  private final class Call implements Party, HttpParser.Sink {
+    private final boolean streams;
+    private final HttpParser parser;
+    private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+    private final Connection connection;
+    private Duration heard = clock.get();
+    private boolean ended;
+
+    Call(boolean streams) {
+      this.streams = streams;
+      parser = new HttpParser(false, streams ? UNBOUNDED : LINE_MOST, this);
+      connection = network.dial(address, OUT_MOST, this);
+      listen();
+    }
+
+    private void listen() {
+      wakeAfter.accept(SILENCE.minus(clock.get().minus(heard)), () -> {
+        if (!ended && clock.get().minus(heard).compareTo(SILENCE) >= 0) {
+          fail("silent");
+        } else if (!ended) {
+          listen();
+        }
+      });
+    }
+
+    @Override public void opened() {
+      String target = streams ? PATH + "?stream=1&index=" + revision : PATH;
+      String host = address.getAddress().getHostAddress() + ':' + address.getPort();
+      connection.out.put(HttpWriter.get(target, host, !streams));
+      connection.touch();
+    }
+
+    @Override public void readable() {
+      heard = clock.get();
+      try {
+        while (!ended && connection.in.size() > 0) {
+          parser.read(connection.in);
+        }
+      } catch (Malformed e) {
+        fail(e.getMessage());
+      }
+      if (ended) {
+        connection.in.clear();
+      }
+    }
+
+    @Override public void head(Head head) throws Malformed {
+      if (!head.second().equals("200")) {
+        throw new Malformed(400, "it answered " + head.second());
+      }
+    }
+
+    @Override public void body(byte[] bytes, int length) throws Malformed {
+      for (int i = 0; i < length && !ended; i++) {
+        if (streams && bytes[i] == '\n') {
+          line();
+        } else {
+          text.write(bytes[i]);
+        }
+      }
+      if (text.size() > LINE_MOST) {
+        throw new Malformed(413, "a line is too long");
+      }
+    }
+
+    private void line() throws Malformed {
+      byte[] line = text.toByteArray();
+      text.reset();
+      if (!new String(line, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
+        try {
+          take(line);
+        } catch (Json.Malformed e) {
+          throw new Malformed(400, "a list could not be used: " + e.getMessage());
+        }
+      }
+    }
+
+    @Override public void end() throws Malformed {
+      if (!streams) {
+        line();
+        end(null);
+      } else {
+        fail("the watch ended");
+      }
+    }
+
+    @Override public void closed() {
+      fail("the connection ended");
+    }
+
+    private void fail(String why) {
+      if (!ended) {
+        end(why);
+        told.failed();
+      }
+    }
+
+    private void end(String why) {
+      ended = true;
+      if (watch == this) {
+        watch = null;
+      }
+      if (why != null) {
+        complain(why);
+      }
+      connection.close();
+    }
+
+    void endQuietly() {
+      end(null);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/front/Asks.java
@@ -0,0 +1,95 @@
+package gingerring.front;
+
+import gingerring.decide.Terms;
+import gingerring.http.Head;
+import gingerring.http.Malformed;
+import gingerring.json.Fields;
+import gingerring.json.Json;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Reads a scan out of a request's headers and body; whatever is off is a 400. */
+final class Asks {
+  private static final int MARK_MOST = 128;
+
+  private final Map<String, Integer> lanes = new HashMap<>();
+  private final List<Boolean> numbered = new ArrayList<>();
+  private final int shards;
+
+  Asks(Terms terms) {
+    for (int i = 0; i < terms.count("Classes.count"); i++) {
+      lanes.put(terms.text("Classes." + i + ".Name"), i);
+      numbered.add(terms.text("Classes." + i + ".Idempotency").equals("deduplicated"));
+    }
+    shards = terms.count("Domain.Slices");
+  }
+
+  Ask read(Head head, byte[] body) throws Malformed {
+    String mark = mark(head, "X-Txn");
+    Integer grade = lanes.get(String.valueOf(head.header("X-Lane")).replace(' ', '_').replace(',', '_'));
+    if (grade == null) {
+      throw new Malformed(400, "no known X-Lane");
+    }
+    String remaining = head.header("X-Remaining-Ms");
+    if (remaining == null || !remaining.matches("[0-9]{1,9}")) {
+      throw new Malformed(400, "no X-Remaining-Ms");
+    }
+    String key = numbered.get(grade) ? mark(head, "Idempotency-Key") : null;
+    try {
+      Map<String, Object> object = Fields.object(Json.read(body), "the body");
+      return new Ask(mark, grade, "1".equals(head.header("X-Resent")), key,
+          Duration.ofMillis(Long.parseLong(remaining)), pieces(Fields.list(object, "targets")),
+          Fields.text(object, "query").getBytes(StandardCharsets.UTF_8));
+    } catch (Json.Malformed e) {
+      throw new Malformed(400, e.getMessage());
+    }
+  }
+
+  /** A mark goes into the searchers' frames as it is, so nothing that frames are cut by may stand in it. */
+  private static String mark(Head head, String name) throws Malformed {
+    String mark = head.header(name);
+    if (mark == null || mark.isEmpty() || mark.length() > MARK_MOST
+        || !mark.chars().allMatch(c -> c > ' ' && c < 127 && c != ',' && c != '=')) {
+      throw new Malformed(400, "no " + name);
+    }
+    return mark;
+  }
+
+  private List<Ask.Piece> pieces(List<Object> targets) throws Json.Malformed {
+    List<Ask.Piece> pieces = new ArrayList<>();
+    Set<Integer> seen = new HashSet<>();
+    for (Object each : targets) {
+      Map<String, Object> target = Fields.object(each, "a target");
+      long shard = Fields.whole(target, "partition");
+      double share = Fields.number(target, "share");
+      if (shard >= shards || !seen.add((int) shard)) {
+        throw new Json.Malformed("partition " + shard + " is out of range, or there twice");
+      }
+      if (share <= 0) {
+        throw new Json.Malformed("share is not positive");
+      }
+      long micros = target.containsKey("est_us") ? Fields.whole(target, "est_us") : 0;
+      pieces.add(new Ask.Piece((int) shard, share, Duration.ofNanos(Math.min(micros, MICROS_MOST) * 1000),
+          target.containsKey("route") ? route(Fields.text(target, "route")) : 0));
+    }
+    if (pieces.isEmpty()) {
+      throw new Json.Malformed("no targets");
+    }
+    return pieces;
+  }
+
+  private static final long MICROS_MOST = 86_400_000_000L;
+
+  private static long route(String text) throws Json.Malformed {
+    if (!text.matches("[0-9a-fA-F]{16}")) {
+      throw new Json.Malformed("route is no 16 hex digits");
+    }
+    return Long.parseUnsignedLong(text, 16);
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/front/Client.java
@@ -0,0 +1,198 @@
+package gingerring.front;
+
+import gingerring.http.Head;
+import gingerring.http.HttpParser;
+import gingerring.http.HttpWriter;
+import gingerring.http.Malformed;
+import gingerring.net.Connection;
+import gingerring.net.Party;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+
+/** One client's connection: a request at a time, the next left in the ring until the answer has been put. */
+final class Client implements Party, Reply {
+  private final Front front;
+  private final Connection connection;
+  private final HttpParser parser;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final boolean crowded;
+  private Head head;
+  private Duration since;
+  private Duration idleSince;
+  /** A scan of this client is in hand. */
+  private boolean waiting;
+  /** The answer to the request in hand is the last on this connection. */
+  private boolean last;
+  /** Nothing more is read: what still comes is dropped until the client has gone. */
+  private boolean over;
+
+  Client(Front front, Connection connection, boolean crowded) {
+    this.front = front;
+    this.crowded = crowded;
+    this.connection = connection;
+    idleSince = front.now();
+    parser = new HttpParser(true, Front.BODY_MOST, new HttpParser.Sink() {
+      @Override public void head(Head read) {
+        head = read;
+        body.reset();
+        if (read.says("expect", "100-continue")) {
+          put(HttpWriter.CONTINUE);
+        }
+      }
+
+      @Override public void body(byte[] bytes, int length) {
+        body.write(bytes, 0, length);
+      }
+
+      @Override public void end() throws Malformed {
+        asked();
+      }
+    });
+  }
+
+  /** Between requests, with nothing read of the next. */
+  boolean idle() {
+    return !waiting && !over && !parser.midway() && connection.in.size() == 0 && connection.out.size() == 0;
+  }
+
+  Duration idleSince() {
+    return idleSince;
+  }
+
+  @Override public void readable() {
+    try {
+      while (!waiting && !over && connection.in.size() > 0) {
+        if (since == null) {
+          since = front.now();
+        }
+        parser.read(connection.in);
+      }
+    } catch (Malformed e) {
+      front.counts().add("bad requests", 1);
+      last = true;
+      respond(e.status, "", new byte[0]);
+    }
+    if (over) {
+      connection.in.clear();
+    }
+  }
+
+  private void asked() throws Malformed {
+    last = head.says("connection", "close") || head.third().equals("HTTP/1.0");
+    if (head.third().equals("HTTP/1.1") && head.header("host") == null) {
+      throw new Malformed(400, "no Host");
+    }
+    int query = head.second().indexOf('?');
+    String path = query < 0 ? head.second() : head.second().substring(0, query);
+    switch (path) {
+      case "/ready" -> respond(!head.first().equals("GET") ? 405 : front.ready() ? 200 : 503, "",
+          new byte[0]);
+      case "/api" -> {
+        if (!head.first().equals("POST")) {
+          respond(405, "", new byte[0]);
+        } else {
+          scan();
+        }
+      }
+      default -> respond(404, "", new byte[0]);
+    }
+  }
+
+  private void scan() throws Malformed {
+    Ask ask;
+    try {
+      ask = front.asks().read(head, body.toByteArray());
+    } catch (Malformed e) {
+      // the framing holds, so that the connection can go on
+      front.counts().add("bad requests", 1);
+      respond(e.status, "", new byte[0]);
+      return;
+    }
+    if (crowded) {
+      front.counts().add("nacks for want of connections", 1);
+      last = true;
+      nack(Duration.ZERO);
+      return;
+    }
+    waiting = true;
+    if (!front.take(ask, since, this)) {
+      front.counts().add("bad requests", 1);
+      respond(400, "", new byte[0]);
+    }
+  }
+
+  @Override public void answer(boolean whole, Map<Integer, byte[]> values) {
+    ByteArrayOutputStream json = new ByteArrayOutputStream();
+    json.writeBytes(("{\"whole\":" + whole + ",\"results\":[").getBytes(StandardCharsets.US_ASCII));
+    boolean first = true;
+    for (Map.Entry<Integer, byte[]> value : values.entrySet()) {
+      json.writeBytes(((first ? "" : ",") + "{\"partition\":" + value.getKey() + ",\"value\":\"")
+          .getBytes(StandardCharsets.US_ASCII));
+      escape(value.getValue(), json);
+      json.writeBytes("\"}".getBytes(StandardCharsets.US_ASCII));
+      first = false;
+    }
+    json.writeBytes("]}".getBytes(StandardCharsets.US_ASCII));
+    respond(200, "", json.toByteArray());
+  }
+
+  private static void escape(byte[] value, ByteArrayOutputStream json) {
+    for (byte b : value) {
+      if (b == '"' || b == '\\') {
+        json.write('\\');
+        json.write(b);
+      } else if (b >= 0 && b < ' ') {
+        json.writeBytes(String.format("\\u%04x", b).getBytes(StandardCharsets.US_ASCII));
+      } else {
+        json.write(b);
+      }
+    }
+  }
+
+  @Override public void nack(Duration comeBack) {
+    respond(503, comeBack.isZero() ? "" : "Retry-After: " + comeBack.toMillis() / 1000.0 + "\r\n",
+        new byte[0]);
+  }
+
+  @Override public void scrap() {
+    respond(500, "", new byte[0]);
+  }
+
+  private void respond(int status, String extra, byte[] json) {
+    waiting = false;
+    since = null;
+    idleSince = front.now();
+    last |= front.ending();
+    if (!put(HttpWriter.answer(status, last, extra, json))) {
+      front.counts().add("answers too large", 1);
+      last = true;
+      put(HttpWriter.answer(500, true, "", new byte[0]));
+    }
+    if (last) {
+      // what still comes is read and dropped: to close on unread bytes would reset the answer away
+      over = true;
+      front.linger(connection);
+    } else {
+      front.again(this::readable);
+    }
+  }
+
+  private boolean put(byte[] bytes) {
+    connection.touch();
+    return connection.closed() || connection.out.put(bytes);
+  }
+
+  void close() {
+    connection.close();
+  }
+
+  @Override public void closed() {
+    front.gone(this);
+    if (waiting) {
+      waiting = false;
+      front.left(this);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/front/Front.java
@@ -0,0 +1,131 @@
+package gingerring.front;
+
+import gingerring.decide.Terms;
+import gingerring.net.Connection;
+import gingerring.net.Counts;
+import gingerring.net.Network;
+import gingerring.net.Party;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** The clients' side: takes their connections, reads their scans, hands them on. */
+public final class Front {
+  static final int BODY_MOST = 64 * 1024;
+  private static final int OUT_MOST = 1 << 20;
+  /** How long a connection that is to end may still be read from. */
+  private static final Duration LINGER = Duration.ofMillis(300);
+
+  private final Network network;
+  private final Intake intake;
+  private final Asks asks;
+  private final Counts counts;
+  private final Supplier<Duration> clock;
+  private final BiConsumer<Duration, Runnable> wakeAfter;
+  private final Consumer<Runnable> again;
+  private final int connectionsMost;
+  private final int spare;
+  private final Set<Client> clients = new LinkedHashSet<>();
+
+  /**
+   * {@code again} runs a task in the next turn, {@code wakeAfter} after a span. Past {@code connectionsMost}
+   * idle connections are closed; {@code spare} more are taken, to nack what comes by them.
+   */
+  public Front(Network network, Intake intake, Terms terms, Counts counts, Supplier<Duration> clock,
+      BiConsumer<Duration, Runnable> wakeAfter, Consumer<Runnable> again, int connectionsMost,
+      int spare) {
+    this.network = network;
+    this.intake = intake;
+    this.counts = counts;
+    this.clock = clock;
+    this.wakeAfter = wakeAfter;
+    this.again = again;
+    this.connectionsMost = connectionsMost;
+    this.spare = spare;
+    asks = new Asks(terms);
+  }
+
+  public void listen(InetSocketAddress address) throws IOException {
+    network.listen(address, OUT_MOST, this::accepted);
+  }
+
+  private void accepted(Connection connection) {
+    // guards against running out of descriptors: the longest idle goes first; without one the newcomer's
+    // scan is nacked, and past twice the room that is left for this the newcomer is closed
+    boolean crowded = false;
+    if (network.connections() > connectionsMost) {
+      Client idlest = clients.stream().filter(Client::idle).min(Comparator.comparing(Client::idleSince))
+          .orElse(null);
+      crowded = idlest == null;
+      if (idlest != null) {
+        counts.add("idle connections shed", 1);
+        idlest.close();
+      }
+    }
+    if (network.connections() > connectionsMost + spare) {
+      counts.add("connections turned away", 1);
+      connection.party(Party.NONE);
+      connection.close();
+      return;
+    }
+    Client client = new Client(this, connection, crowded);
+    connection.party(client);
+    clients.add(client);
+  }
+
+  /** The end is near: connections between requests are closed, the others end with their answers. */
+  public void end() {
+    List.copyOf(clients).stream().filter(Client::idle).forEach(Client::close);
+  }
+
+  public int clients() {
+    return clients.size();
+  }
+
+  void gone(Client client) {
+    clients.remove(client);
+  }
+
+  Duration now() {
+    return clock.get();
+  }
+
+  Asks asks() {
+    return asks;
+  }
+
+  Counts counts() {
+    return counts;
+  }
+
+  boolean ready() {
+    return intake.ready();
+  }
+
+  boolean ending() {
+    return intake.ending();
+  }
+
+  boolean take(Ask ask, Duration since, Reply reply) {
+    return intake.take(ask, since, reply);
+  }
+
+  void left(Reply reply) {
+    intake.left(reply);
+  }
+
+  void again(Runnable task) {
+    again.accept(task);
+  }
+
+  void linger(Connection connection) {
+    wakeAfter.accept(LINGER, connection::closeAfterFlush);
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/front/Intake.java
@@ -0,0 +1,18 @@
+package gingerring.front;
+
+import java.time.Duration;
+
+/** What fronts hand their scans to; every front goes through the same decisions. */
+public interface Intake {
+  /** Whether scans are taken: from the start until the end is announced. */
+  boolean ready();
+
+  /** Whether the end has been announced, so that every connection is to end with its answer. */
+  boolean ending();
+
+  /** Takes a scan whose first byte came at {@code since}; false where one of this mark is already in hand. */
+  boolean take(Ask ask, Duration since, Reply reply);
+
+  /** The client of a scan in hand has gone away. */
+  void left(Reply reply);
+}
--- /dev/null
+++ b/src/main/java/gingerring/net/Connection.java
@@ -0,0 +1,176 @@
+package gingerring.net;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.session.IoSession;
+
+/**
+ * One connection as the loop has it: a ring of bytes for each direction, both bounded. The methods marked so
+ * are MINA's thread's; all others are the loop's.
+ */
+public final class Connection {
+  /** What one read brings at most; reading stops while the ring has no room for that. */
+  static final int READ = 4096;
+  private static final int IN = 4 * READ;
+  private static final int OUT_FIRST = 1024;
+
+  public final ByteRing in = new ByteRing(IN, IN);
+  public final ByteRing out;
+  private final Network network;
+  private Party party;
+  private ConnectFuture dialled;
+  private volatile IoSession session;
+  private boolean opened;
+  /** How many bytes MINA has in hand; 0 where it has none. */
+  private int writing;
+  private boolean closing;
+  private boolean closed;
+  private final AtomicBoolean told = new AtomicBoolean();
+  private volatile boolean paused;
+
+  Connection(Network network, int outMost) {
+    this.network = network;
+    out = new ByteRing(OUT_FIRST, outMost);
+  }
+
+  public void party(Party owner) {
+    party = owner;
+  }
+
+  public boolean open() {
+    return opened && !closed && !closing;
+  }
+
+  /** Up or coming up, and not to be closed. */
+  public boolean usable() {
+    return !closed && !closing;
+  }
+
+  public boolean closed() {
+    return closed;
+  }
+
+  /** How many bytes really left by this connection. */
+  public long written() {
+    return session == null ? 0 : session.getWrittenBytes();
+  }
+
+  void dialled(ConnectFuture future) {
+    dialled = future;
+  }
+
+  // ---- MINA's thread ----
+
+  void received(IoBuffer buffer) {
+    byte[] bytes = new byte[buffer.remaining()];
+    buffer.get(bytes);
+    boolean fits = in.put(bytes);
+    assert fits : "read past a full ring";
+    if (!fits) {
+      network.counts.add("ring overruns", 1);
+      session.closeNow();
+      return;
+    }
+    if (in.room() < READ) {
+      paused = true;
+      session.suspendRead();
+    }
+    if (told.compareAndSet(false, true)) {
+      network.inbox.post(this::tellReadable);
+    }
+  }
+
+  void up(IoSession session) {
+    this.session = session;
+  }
+
+  void sent() {
+    network.inbox.post(this::left);
+  }
+
+  // ---- the loop ----
+
+  void tellOpened() {
+    opened = true;
+    if (closed || closing) {
+      session.closeNow();
+      return;
+    }
+    party.opened();
+    network.dirty(this);
+  }
+
+  private void tellReadable() {
+    told.set(false);
+    if (!closed) {
+      party.readable();
+      resume();
+    }
+  }
+
+  /** Reading goes on once there is room again. */
+  public void resume() {
+    if (paused && in.room() >= READ && !closed) {
+      paused = false;
+      session.resumeRead();
+      network.nudge();
+    }
+  }
+
+  /** Marks that there is something to flush at the end of the turn. */
+  public void touch() {
+    network.dirty(this);
+  }
+
+  /** One write of what lies side by side in the ring; what is left follows once that has gone. */
+  void flush() {
+    if (!opened || closed || writing > 0) {
+      return;
+    }
+    if (out.size() > 0) {
+      ByteBuffer slice = out.peek();
+      writing = slice.remaining();
+      session.write(IoBuffer.wrap(slice));
+    } else if (closing) {
+      session.closeNow();
+    }
+  }
+
+  private void left() {
+    out.skip(writing);
+    writing = 0;
+    flush();
+    if (out.size() == 0 && !closed) {
+      party.drained();
+    }
+  }
+
+  /** Ends the connection once what was put has left. */
+  public void closeAfterFlush() {
+    closing = true;
+    network.dirty(this);
+  }
+
+  /** Ends the connection at once; its party is told all the same. */
+  public void close() {
+    closing = true;
+    if (opened) {
+      session.closeNow();
+    } else {
+      if (dialled != null) {
+        dialled.cancel();
+      }
+      network.inbox.post(this::tellClosed);
+    }
+  }
+
+  void tellClosed() {
+    if (!closed) {
+      closed = true;
+      network.forget(this);
+      party.closed();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/net/Network.java
@@ -0,0 +1,164 @@
+package gingerring.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+
+/**
+ * Apache MINA: one thread reads and writes for those who come in and those we call. Its handlers pass bytes
+ * and events on to the loop and do nothing else.
+ */
+public final class Network {
+  private static final String CONNECTION = "connection";
+  private static final int BACKLOG = 512;
+  private static final int STACK = 1 << 18;
+
+  final Inbox inbox;
+  final Counts counts;
+  private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+    Thread thread = new Thread(null, task, "mina", STACK);
+    thread.setDaemon(true);
+    return thread;
+  });
+  private final Processor processor = new Processor(threads);
+  private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
+  private NioSocketAcceptor acceptor;
+  private final Set<Connection> dirty = new LinkedHashSet<>();
+  private final Set<Connection> all = new LinkedHashSet<>();
+
+  public Network(Inbox inbox, Counts counts) {
+    this.inbox = inbox;
+    this.counts = counts;
+    connector.setHandler(new Passing());
+    prepare(connector.getSessionConfig());
+  }
+
+  private static void prepare(SocketSessionConfig session) {
+    session.setTcpNoDelay(true);
+    session.setMaxReadBufferSize(Connection.READ);
+  }
+
+  /** Takes connections at an address; each is told to {@code accepted}, which gives it a party. */
+  public void listen(InetSocketAddress address, int outMost, Consumer<Connection> accepted)
+      throws IOException {
+    acceptor = new NioSocketAcceptor(threads, processor);
+    acceptor.setReuseAddress(true);
+    acceptor.setBacklog(BACKLOG);
+    prepare(acceptor.getSessionConfig());
+    acceptor.setHandler(new Passing() {
+      @Override public void sessionCreated(IoSession session) {
+        Connection connection = new Connection(Network.this, outMost);
+        session.setAttribute(CONNECTION, connection);
+        connection.up(session);
+        inbox.post(() -> {
+          all.add(connection);
+          accepted.accept(connection);
+        });
+      }
+    });
+    acceptor.bind(address);
+  }
+
+  /** Takes no more connections; those there are stay. */
+  public void stopListening() {
+    if (acceptor != null) {
+      acceptor.setCloseOnDeactivation(false);
+      acceptor.unbind();
+    }
+  }
+
+  /** Calls an address; its party is told once the connection is up, or that it never came up. */
+  public Connection dial(InetSocketAddress address, int outMost, Party party) {
+    Connection connection = new Connection(this, outMost);
+    connection.party(party);
+    all.add(connection);
+    ConnectFuture dialled = connector.connect(address, (session, future) -> {
+      session.setAttribute(CONNECTION, connection);
+      connection.up(session);
+    });
+    connection.dialled(dialled);
+    dialled.addListener(future -> {
+      if (!dialled.isConnected()) {
+        inbox.post(connection::tellClosed);
+      }
+    });
+    return connection;
+  }
+
+  /** Connections in hand, those being opened too. */
+  public int connections() {
+    return all.size();
+  }
+
+  void dirty(Connection connection) {
+    dirty.add(connection);
+  }
+
+  void forget(Connection connection) {
+    all.remove(connection);
+    dirty.remove(connection);
+  }
+
+  void nudge() {
+    processor.wakeup();
+  }
+
+  /** One flush for each connection that something was put into. */
+  public void flush() {
+    List<Connection> now = List.copyOf(dirty);
+    dirty.clear();
+    now.forEach(Connection::flush);
+  }
+
+  /** MINA's processor, with its wake-up call within reach: a change of interest waits for the next one. */
+  private static final class Processor extends NioProcessor {
+    Processor(ExecutorService threads) {
+      super(threads);
+    }
+
+    @Override protected void wakeup() {
+      super.wakeup();
+    }
+  }
+
+  private static Connection of(IoSession session) {
+    return (Connection) session.getAttribute(CONNECTION);
+  }
+
+  /** Passes on what MINA tells, from its thread to the loop's. */
+  private class Passing extends IoHandlerAdapter {
+    @Override public void sessionOpened(IoSession session) {
+      inbox.post(of(session)::tellOpened);
+    }
+
+    @Override public void messageReceived(IoSession session, Object message) {
+      of(session).received((IoBuffer) message);
+    }
+
+    @Override public void messageSent(IoSession session, Object message) {
+      of(session).sent();
+    }
+
+    @Override public void sessionClosed(IoSession session) {
+      inbox.post(of(session)::tellClosed);
+    }
+
+    @Override public void exceptionCaught(IoSession session, Throwable cause) {
+      counts.add("connections broken", 1);
+      session.closeNow();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/serve/Desk.java
@@ -0,0 +1,384 @@
+package gingerring.serve;
+
+import gingerring.back.Back;
+import gingerring.back.Errand;
+import gingerring.back.Returns;
+import gingerring.decide.Host;
+import gingerring.decide.Listing;
+import gingerring.decide.Mixer;
+import gingerring.decide.Outcome;
+import gingerring.decide.Part;
+import gingerring.decide.PartId;
+import gingerring.decide.ScanId;
+import gingerring.decide.SearcherId;
+import gingerring.decide.Terms;
+import gingerring.decide.WakeId;
+import gingerring.discovery.Members;
+import gingerring.discovery.Watch;
+import gingerring.front.Ask;
+import gingerring.front.Intake;
+import gingerring.front.Reply;
+import gingerring.net.Counts;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGeneratorFactory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The mixer's place among the sockets: what happens becomes calls of the mixer, and its calls become frames
+ * and answers. Does for the mixer what the simulator's world does, and decides nothing.
+ */
+final class Desk implements Host, Intake, Returns, Watch.Told {
+  /** A scan in hand, until its one final answer. */
+  private static final class Open {
+    final ScanId id;
+    final Ask ask;
+    final Duration end;
+    final Reply reply;
+    final List<Piece> pieces = new ArrayList<>();
+    boolean answered;
+
+    Open(ScanId id, Ask ask, Duration end, Reply reply) {
+      this.id = id;
+      this.ask = ask;
+      this.end = end;
+      this.reply = reply;
+    }
+  }
+
+  /** A part of it, kept until its scan has been answered and all its trips have ended. */
+  private static final class Piece {
+    final PartId id;
+    final Open scan;
+    final int shard;
+    final List<Errand> trips = new ArrayList<>();
+    byte[] value;
+
+    Piece(PartId id, Open scan, int shard) {
+      this.id = id;
+      this.scan = scan;
+      this.shard = shard;
+    }
+  }
+
+  private static final Logger LOG = LoggerFactory.getLogger("gingerring.mixer");
+  private static final float[] NONE = {};
+
+  private final Loop loop;
+  private final Terms terms;
+  private final Counts counts;
+  private final double startMs;
+  private final int heldMost;
+  private final int tripsMost;
+  private final List<String> zones;
+  private final List<String> machines;
+  private final Map<ScanId, Open> scans = new LinkedHashMap<>();
+  private final Map<PartId, Piece> pieces = new HashMap<>();
+  private final Map<String, Open> marks = new HashMap<>();
+  private final Map<Reply, Open> replies = new HashMap<>();
+  private final Map<String, SearcherId> searchers = new HashMap<>();
+  private final Map<SearcherId, Listing> listed = new HashMap<>();
+  private long ids;
+  private int held;
+  private Mixer mixer;
+  private Back back;
+  private Watch watch;
+  private boolean ready;
+  private boolean ending;
+
+  /** {@code startMs}: Unix time at the loop's zero. */
+  Desk(Loop loop, Terms terms, Counts counts, double startMs) {
+    this.loop = loop;
+    this.terms = terms;
+    this.counts = counts;
+    this.startMs = startMs;
+    heldMost = terms.count("PolicyLimits.MostHeld");
+    tripsMost = (int) terms.number("PolicyLimits.MaxAttempts", 1);
+    zones = List.of(terms.text("Zones").split(","));
+    machines = List.of(terms.text("Skus").split(","));
+  }
+
+  /** The mixer starts, and is told the list as it was known in the same turn. */
+  void start(Back back, Watch watch, long seed, Members known) {
+    this.back = back;
+    this.watch = watch;
+    mixer = new Mixer(terms.map(), RandomGeneratorFactory.of("L64X128MixRandom").create(seed), this);
+    list(known);
+    if (terms.text("Discovery").equals("automatic")) {
+      watch.open();
+    }
+    ready = true;
+  }
+
+  // ---- what happens ----
+
+  @Override public boolean ready() {
+    return ready && !ending;
+  }
+
+  @Override public boolean ending() {
+    return ending;
+  }
+
+  @Override public boolean take(Ask ask, Duration since, Reply reply) {
+    if (marks.containsKey(ask.mark())) {
+      return false;
+    }
+    if (held + 1 + ask.pieces().size() > heldMost) {
+      counts.add("nacks for a full house", 1);
+      reply.nack(Duration.ZERO);
+      return true;
+    }
+    Open scan = new Open(new ScanId(ids++), ask, since.plus(ask.patience()), reply);
+    List<Part> parts = new ArrayList<>();
+    for (Ask.Piece each : ask.pieces()) {
+      Piece piece = new Piece(new PartId(ids++), scan, each.shard());
+      scan.pieces.add(piece);
+      pieces.put(piece.id, piece);
+      parts.add(new Part(piece.id, each.shard(), each.share(), each.route()));
+    }
+    held += 1 + parts.size();
+    scans.put(scan.id, scan);
+    marks.put(ask.mark(), scan);
+    replies.put(reply, scan);
+    counts.add("scans taken", 1);
+    // whatever becomes of it in the mixer, it is answered by the end of its client's patience
+    loop.wakeAfter(scan.end.minus(now()), () -> overdue(scan));
+    loop.tell(() -> {
+      if (!scan.answered) {
+        arrive(scan, parts);
+      }
+    });
+    return true;
+  }
+
+  private void arrive(Open scan, List<Part> parts) {
+    try {
+      mixer.scanArrived(scan.id, scan.id.number(), scan.ask.grade(), 0, scan.ask.repeat(), scan.ask.work(),
+          scan.end, parts);
+    } catch (RuntimeException | AssertionError e) {
+      overdue(scan);
+      throw e;
+    }
+  }
+
+  /** Guards against a scan that the mixer lost sight of: it is scrapped, which promises nothing. */
+  private void overdue(Open scan) {
+    if (!scan.answered) {
+      counts.add("scans the mixer left open", 1);
+      scan.reply.scrap();
+      finish(scan);
+      loop.tell(() -> mixer.clientLeft(scan.id));
+    }
+  }
+
+  @Override public void left(Reply reply) {
+    Open scan = replies.get(reply);
+    if (scan != null) {
+      counts.add("clients that left", 1);
+      finish(scan);
+      loop.tell(() -> mixer.clientLeft(scan.id));
+    }
+  }
+
+  private void finish(Open scan) {
+    scan.answered = true;
+    scans.remove(scan.id);
+    marks.remove(scan.ask.mark());
+    replies.remove(scan.reply);
+    held -= 1 + scan.pieces.size();
+    scan.pieces.forEach(this::drop);
+  }
+
+  private void drop(Piece piece) {
+    if (piece.scan.answered && piece.trips.stream().allMatch(Errand::done)) {
+      pieces.remove(piece.id);
+    }
+  }
+
+  @Override public void ended(Errand errand, Outcome outcome, float[] load, byte[] value) {
+    loop.tell(() -> {
+      Piece piece = pieces.get(errand.part);
+      boolean over = piece == null || piece.scan.answered || piece.value != null;
+      if (piece != null && !over && outcome == Outcome.SUCCEEDED) {
+        piece.value = value;
+        over = true;
+      }
+      mixer.tripEnded(errand.part, errand.trip, outcome, over, load);
+      if (piece != null) {
+        drop(piece);
+      }
+    });
+  }
+
+  @Override public void probed(SearcherId searcher, Outcome outcome, Duration taken, float[] load) {
+    loop.tell(() -> mixer.probed(searcher, outcome, taken, load));
+  }
+
+  @Override public void list(Members members) {
+    List<Listing> lines = new ArrayList<>();
+    for (Members.Member member : members.members()) {
+      SearcherId id = searchers.computeIfAbsent(member.id(), this::newId);
+      Listing last = listed.get(id);
+      Duration started = member.upSinceMs() == 0 ? null
+          : Duration.ofNanos(Math.round((member.upSinceMs() - startMs) * 1e6));
+      Listing line = member.address() == null && last != null
+          ? new Listing(id, last.zone(), last.machine(), last.cell(), member.standing(), last.size(),
+              last.startedAt())
+          : new Listing(id, zones.indexOf(member.locality()), machines.indexOf(member.flavor()),
+              member.cell(), member.standing(), member.size(), started);
+      lines.add(line);
+      listed.put(id, line);
+      if (member.address() == null || member.standing() == Listing.Standing.GONE) {
+        back.gone(id);
+      } else {
+        back.listed(id, member.address(), line.startedAt());
+      }
+    }
+    if (members.complete()) {
+      listed.keySet().stream().filter(id -> lines.stream().noneMatch(line -> line.searcher().equals(id)))
+          .toList().forEach(back::gone);
+    }
+    loop.tell(() -> mixer.rosterTold(lines, members.complete()));
+  }
+
+  /** The same number at every mixer, and of two names that hash alike the second the next one free. */
+  private SearcherId newId(String name) {
+    long hash = 0xcbf29ce484222325L;
+    for (int i = 0; i < name.length(); i++) {
+      hash = (hash ^ name.charAt(i)) * 0x100000001b3L;
+    }
+    while (searchers.containsValue(new SearcherId(hash))) {
+      hash++;
+    }
+    return new SearcherId(hash);
+  }
+
+  @Override public void failed() {
+    loop.tell(() -> mixer.rosterFailed());
+  }
+
+  /** The end is announced: no longer ready, and each answer is its connection's last. */
+  void announceEnd() {
+    ending = true;
+  }
+
+  int open() {
+    return scans.size();
+  }
+
+  /** Scraps what is still open, since the process ends before the mixer would close it. */
+  void scrapAll() {
+    for (Open scan : List.copyOf(scans.values())) {
+      counts.add("scans scrapped at the end", 1);
+      scan.reply.scrap();
+      finish(scan);
+    }
+  }
+
+  // ---- what the mixer does ----
+
+  @Override public Duration now() {
+    return loop.now();
+  }
+
+  @Override public void send(PartId part, SearcherId searcher, Duration timeOut) {
+    Piece piece = pieces.get(part);
+    int number = piece == null ? 0 : piece.trips.size();
+    Duration until = piece == null ? now() : now().plus(timeOut);
+    if (piece != null && until.compareTo(piece.scan.end) > 0) {
+      until = piece.scan.end;
+    }
+    Ask ask = piece == null ? null : piece.scan.ask;
+    Errand errand = new Errand(part, number, searcher,
+        piece == null ? "" : ask.mark() + '.' + piece.shard, piece == null ? 0 : piece.shard,
+        piece == null ? null : ask.key(), piece == null ? null : ask.text(), until);
+    boolean over = piece == null || piece.scan.answered || piece.value != null
+        || piece.trips.size() >= tripsMost || until.compareTo(now()) <= 0;
+    assert !over : "a trip for a part that is over";
+    if (piece != null) {
+      piece.trips.add(errand);
+    }
+    if (over) {
+      counts.add("trips not sent", 1);
+      ended(errand, Outcome.NOT_SENT, NONE, null);
+    } else {
+      back.send(errand);
+    }
+  }
+
+  @Override public void recall(PartId part, int trip) {
+    Piece piece = pieces.get(part);
+    if (piece != null && trip < piece.trips.size()) {
+      back.recall(piece.trips.get(trip));
+    }
+  }
+
+  @Override public void answer(ScanId id, boolean whole) {
+    Open scan = scans.get(id);
+    if (scan == null) {
+      return;
+    }
+    Map<Integer, byte[]> values = new LinkedHashMap<>();
+    for (Piece piece : scan.pieces) {
+      if (piece.value != null) {
+        values.put(piece.shard, piece.value);
+      }
+    }
+    assert !values.isEmpty() : "an answer from nothing";
+    counts.add(whole ? "whole answers" : "partial answers", 1);
+    scan.reply.answer(whole, values);
+    finish(scan);
+  }
+
+  @Override public void nack(ScanId id, Duration comeBack) {
+    Open scan = scans.get(id);
+    if (scan != null) {
+      counts.add("nacks", 1);
+      scan.reply.nack(comeBack);
+      finish(scan);
+    }
+  }
+
+  @Override public void scrap(ScanId id) {
+    Open scan = scans.get(id);
+    if (scan != null) {
+      counts.add("scraps", 1);
+      scan.reply.scrap();
+      finish(scan);
+    }
+  }
+
+  @Override public void probe(SearcherId searcher) {
+    back.probe(searcher);
+  }
+
+  @Override public void closeIdle(SearcherId searcher) {
+    back.closeIdle(searcher);
+  }
+
+  @Override public void watchRoster(boolean on) {
+    loop.tell(on ? watch::open : watch::close);
+  }
+
+  @Override public void fetchRoster() {
+    watch.fetch();
+  }
+
+  @Override public void tell(int peer, byte[] bytes) {
+    counts.add("words to peers dropped", 1);
+  }
+
+  @Override public void wakeAfter(Duration span, WakeId wake) {
+    loop.wakeAfter(span, () -> loop.tell(() -> mixer.woken(wake)));
+  }
+
+  @Override public void log(String line) {
+    LOG.info(line);
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/serve/Loop.java
@@ -0,0 +1,114 @@
+package gingerring.serve;
+
+import gingerring.net.Counts;
+import gingerring.net.Inbox;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The one thread that owns the mixer and all state. Each turn gathers all that is ready, hands it to the
+ * mixer in one go, and then carries out what came back.
+ */
+final class Loop implements Inbox {
+  private record Wake(Duration at, long number, Runnable task) implements Comparable<Wake> {
+    @Override public int compareTo(Wake other) {
+      int byTime = at.compareTo(other.at);
+      return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+  }
+
+  private static final Logger LOG = LoggerFactory.getLogger("gingerring.loop");
+  private static final int FAILURES_LOGGED = 20;
+
+  private final Counts counts;
+  private final long startNanos = System.nanoTime();
+  /** Holds a few events a connection at most: each waits for its turn before it posts the next. */
+  private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+  private final PriorityQueue<Wake> wakes = new PriorityQueue<>();
+  private List<Runnable> tellings = new ArrayList<>();
+  private Duration now = Duration.ZERO;
+  private long wakeCount;
+  private int failures;
+  private boolean running = true;
+
+  Loop(Counts counts) {
+    this.counts = counts;
+  }
+
+  /** The time of this turn, since the start. */
+  Duration now() {
+    return now;
+  }
+
+  @Override public void post(Runnable event) {
+    inbox.add(event);
+  }
+
+  void wakeAfter(Duration span, Runnable task) {
+    wakes.add(new Wake(now.plus(span), wakeCount++, task));
+  }
+
+  /** What the mixer is to be told once all that is ready has been gathered; from the mixer, in the next turn. */
+  void tell(Runnable telling) {
+    tellings.add(telling);
+  }
+
+  void stop() {
+    running = false;
+  }
+
+  /** Turns until it is stopped; {@code carryOut} ends each turn. */
+  void run(Runnable carryOut) {
+    List<Runnable> ready = new ArrayList<>();
+    while (running) {
+      await(ready);
+      now = clock();
+      ready.forEach(event -> guard("an event", event));
+      ready.clear();
+      while (!wakes.isEmpty() && wakes.peek().at.compareTo(now) <= 0) {
+        guard("a wake", wakes.poll().task);
+      }
+      List<Runnable> turn = tellings;
+      tellings = new ArrayList<>();
+      turn.forEach(telling -> guard("the mixer", telling));
+      guard("carrying out", carryOut);
+    }
+  }
+
+  Duration clock() {
+    return Duration.ofNanos(System.nanoTime() - startNanos);
+  }
+
+  private void await(List<Runnable> ready) {
+    long nanos = !tellings.isEmpty() ? 0
+        : wakes.isEmpty() ? TimeUnit.SECONDS.toNanos(1) : wakes.peek().at.minus(clock()).toNanos();
+    try {
+      Runnable first = nanos > 0 ? inbox.poll(nanos, TimeUnit.NANOSECONDS) : inbox.poll();
+      if (first != null) {
+        ready.add(first);
+        inbox.drainTo(ready);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      running = false;
+    }
+  }
+
+  /** Runs one thing of a turn. Guards the process and all other scans against whatever fails in it. */
+  void guard(String what, Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException | AssertionError | StackOverflowError e) {
+      counts.add("failures in " + what, 1);
+      if (failures++ < FAILURES_LOGGED) {
+        LOG.error("{} failed", what, e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/serve/Orders.java
@@ -0,0 +1,119 @@
+package gingerring.serve;
+
+import gingerring.decide.Terms;
+import gingerring.discovery.Members;
+import gingerring.json.Fields;
+import gingerring.json.Json;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** All that a mixer is told at its start. */
+record Orders(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+    Members known, Terms terms) {
+  /** Something needed is missing or cannot be read; the message names it. */
+  static final class Unfit extends Exception {
+    private static final long serialVersionUID = 1;
+
+    Unfit(String message) {
+      super(message);
+    }
+  }
+
+  private static final int SOCKETS_USUAL = 1024;
+
+  static Orders read(Map<String, String> env) throws Unfit {
+    String file = env.get("LB_CONFIG");
+    if (file == null) {
+      throw new Unfit("LB_CONFIG is missing");
+    }
+    Map<String, Object> told;
+    try {
+      told = Fields.object(Json.read(Files.readAllBytes(Path.of(file))), "it");
+    } catch (IOException | java.nio.file.InvalidPathException e) {
+      throw new Unfit("LB_CONFIG names a file that cannot be read: " + file);
+    } catch (Json.Malformed e) {
+      throw new Unfit("LB_CONFIG: " + e.getMessage());
+    }
+    Map<String, String> flat = new HashMap<>();
+    flatten("", told.getOrDefault("settings", Map.of()), flat);
+    if (flat.isEmpty()) {
+      throw new Unfit("settings is missing");
+    }
+    return new Orders(text(told, "name", env.get("LB_NAME")),
+        address(told, "listen", env.get("LB_LISTEN")), address(told, "discovery", env.get("LB_DISCOVERY")),
+        seed(told), sockets(told), known(told), new Terms(flat));
+  }
+
+  /** Nested values as paths to plain ones, lists of objects counted and numbered, as WIRE has them. */
+  static void flatten(String path, Object value, Map<String, String> flat) {
+    if (value instanceof Map<?, ?> map) {
+      map.forEach((name, each) -> flatten(path.isEmpty() ? name.toString() : path + '.' + name, each, flat));
+    } else if (value instanceof List<?> list && !list.isEmpty() && list.get(0) instanceof Map) {
+      flat.put(path + ".count", String.valueOf(list.size()));
+      for (int i = 0; i < list.size(); i++) {
+        flatten(path + '.' + i, list.get(i), flat);
+      }
+    } else if (value instanceof List<?> list) {
+      flat.put(path, String.join(",", list.stream().map(Orders::plain).toList()));
+    } else {
+      flat.put(path, plain(value));
+    }
+  }
+
+  private static String plain(Object value) {
+    if (value instanceof Double number) {
+      return number == Math.rint(number) && Math.abs(number) < Long.MAX_VALUE
+          ? String.valueOf(number.longValue()) : number.toString();
+    }
+    return value == null ? "" : value.toString().replace(' ', '_').replace(',', '_');
+  }
+
+  private static String text(Map<String, Object> told, String name, String otherwise) throws Unfit {
+    Object value = told.getOrDefault(name, otherwise);
+    if (value instanceof String text && !text.isEmpty()) {
+      return text;
+    }
+    throw new Unfit(name + " is missing");
+  }
+
+  private static InetSocketAddress address(Map<String, Object> told, String name, String otherwise)
+      throws Unfit {
+    try {
+      return Members.address(text(told, name, otherwise));
+    } catch (Json.Malformed e) {
+      throw new Unfit(name + ": " + e.getMessage());
+    }
+  }
+
+  private static long seed(Map<String, Object> told) throws Unfit {
+    try {
+      return Long.parseUnsignedLong(text(told, "seed", null), 16);
+    } catch (NumberFormatException e) {
+      throw new Unfit("seed is no number in hex digits");
+    }
+  }
+
+  private static int sockets(Map<String, Object> told) throws Unfit {
+    try {
+      if (!told.containsKey("limits")) {
+        return SOCKETS_USUAL;
+      }
+      return (int) Fields.number(Fields.object(told.get("limits"), "limits"), "sockets");
+    } catch (Json.Malformed e) {
+      throw new Unfit(e.getMessage());
+    }
+  }
+
+  private static Members known(Map<String, Object> told) throws Unfit {
+    try {
+      return told.containsKey("known") ? Members.read(told.get("known")) : new Members(0, true, List.of());
+    } catch (Json.Malformed e) {
+      throw new Unfit("known: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -0,0 +1,132 @@
+package gingerring.serve;
+
+import gingerring.back.Back;
+import gingerring.decide.Terms;
+import gingerring.discovery.Watch;
+import gingerring.front.Front;
+import gingerring.net.Counts;
+import gingerring.net.Network;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Starts a real mixer, runs it in the foreground, and ends it at SIGTERM. */
+public final class Serve {
+  private static final Logger LOG = LoggerFactory.getLogger("gingerring.serve");
+  /** How long after SIGTERM clients may still come: what comes later may go unanswered. */
+  private static final Duration STILL_COMING = Duration.ofMillis(700);
+  /** The longest patience that a restart waits for, and how long before the end the last scans are closed. */
+  private static final Duration PATIENCE_MOST = Duration.ofSeconds(3);
+  private static final Duration END_MARGIN = Duration.ofMillis(300);
+  /** Answers need a moment to leave. */
+  private static final Duration FLUSH = Duration.ofMillis(100);
+  private static final Duration STATUS_EVERY = Duration.ofSeconds(60);
+  /** Descriptors for the process itself and its searchers, beside those for clients. */
+  private static final int SOCKETS_OWN = 64;
+
+  private final Counts counts = new Counts();
+  private final Loop loop = new Loop(counts);
+  private final CountDownLatch ended = new CountDownLatch(1);
+  private Network network;
+  private Front front;
+  private Desk desk;
+  private Back back;
+  private Duration endBy;
+  private Duration takeUntil;
+
+  /** Returns the exit code. */
+  public static int run(Map<String, String> env, PrintStream complaints) {
+    Orders orders;
+    try {
+      orders = Orders.read(env);
+      return new Serve().serve(orders, complaints);
+    } catch (Orders.Unfit | IllegalArgumentException e) {
+      complaints.println("gingerring serve: " + e.getMessage());
+      return 2;
+    }
+  }
+
+  private int serve(Orders orders, PrintStream complaints) {
+    Terms terms = orders.terms();
+    for (int i = 0; i < terms.count("Classes.count"); i++) {
+      if (terms.item("Domain.ClassFetch", i, 0) > 0) {
+        throw new IllegalArgumentException("setting Domain.ClassFetch: second steps have no form on sockets");
+      }
+    }
+    // one reading of both clocks
+    double startMs = System.currentTimeMillis() - loop.clock().toNanos() / 1e6;
+    network = new Network(loop, counts);
+    desk = new Desk(loop, terms, counts, startMs);
+    back = new Back(network, desk, terms, counts, loop::now, loop::wakeAfter);
+    Watch watch = new Watch(network, orders.discovery(), orders.known().revision(), desk, counts, loop::now,
+        loop::wakeAfter);
+    int spare = SOCKETS_OWN / 2;
+    front = new Front(network, desk, terms, counts, loop::now, loop::wakeAfter, loop::post,
+        Math.max(1, orders.sockets() - SOCKETS_OWN - spare), spare);
+    desk.start(back, watch, orders.seed(), orders.known());
+    try {
+      front.listen(orders.listen());
+    } catch (IOException e) {
+      complaints.println("gingerring serve: cannot listen at " + orders.listen() + ": " + e.getMessage());
+      return 1;
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "end"));
+    LOG.info("{} listens at {}, {} searchers known", orders.name(), orders.listen(),
+        orders.known().members().size());
+    status();
+    loop.run(this::carryOut);
+    ended.countDown();
+    LOG.info("ended; counts: {}", counts);
+    return 0;
+  }
+
+  private void carryOut() {
+    back.dispatch();
+    network.flush();
+  }
+
+  private void status() {
+    loop.wakeAfter(STATUS_EVERY, () -> {
+      LOG.info("{} scans open, {} clients, {} connections; counts: {}", desk.open(), front.clients(),
+          network.connections(), counts);
+      status();
+    });
+  }
+
+  /** SIGTERM: the loop ends in its own time, and the process with code 0. */
+  private void terminate() {
+    loop.post(this::announceEnd);
+    try {
+      ended.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    Runtime.getRuntime().halt(0);
+  }
+
+  private void announceEnd() {
+    LOG.info("ending: {} scans open", desk.open());
+    desk.announceEnd();
+    front.end();
+    takeUntil = loop.now().plus(STILL_COMING);
+    endBy = loop.now().plus(PATIENCE_MOST).plus(STILL_COMING).minus(END_MARGIN);
+    loop.wakeAfter(STILL_COMING, network::stopListening);
+    watchEnd();
+  }
+
+  private void watchEnd() {
+    boolean late = loop.now().compareTo(endBy) >= 0;
+    if (late) {
+      desk.scrapAll();
+    }
+    if (late || loop.now().compareTo(takeUntil) > 0 && desk.open() == 0) {
+      loop.wakeAfter(FLUSH, loop::stop);
+    } else {
+      loop.wakeAfter(FLUSH, this::watchEnd);
+    }
+  }
+}
