Bound slow senders and readers; let the end cut scans' patience; close when answered

A connection that is to end now closes once its answer has left, and lingers only where framing was lost: a request sent on it in the meantime would have been dropped. The next request waits until the last answer has left. Bodies half sent are bounded together (16 MB), stuck connections may be shed. The backstop at the end of a scan's patience comes after the mixer's own wakes of the same turn. Patience counts from when MINA's thread saw the first byte, not from the turn.

--- a/src/main/java/gingerring/front/Client.java
+++ b/src/main/java/gingerring/front/Client.java
@@ -16,7 +16,7 @@
   private final Front front;
   private final Connection connection;
   private final HttpParser parser;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final boolean crowded;
   private Head head;
   private Duration since;
@@ -27,6 +27,7 @@
   private boolean last;
   /** Nothing more is read: what still comes is dropped until the client has gone. */
   private boolean over;
+  private boolean framingLost;
 
   Client(Front front, Connection connection, boolean crowded) {
     this.front = front;
@@ -36,13 +37,13 @@
     parser = new HttpParser(true, Front.BODY_MOST, new HttpParser.Sink() {
       @Override public void head(Head read) {
         head = read;
-        body.reset();
         if (read.says("expect", "100-continue")) {
           put(HttpWriter.CONTINUE);
         }
       }
 
-      @Override public void body(byte[] bytes, int length) {
+      @Override public void body(byte[] bytes, int length) throws Malformed {
+        front.holdBody(length);
         body.write(bytes, 0, length);
       }
 
@@ -57,26 +58,38 @@
     return !waiting && !over && !parser.midway() && connection.in.size() == 0 && connection.out.size() == 0;
   }
 
+  /** No scan in hand, and a request or an answer that has been on its way for longer than is fair. */
+  boolean stuck() {
+    return !waiting && front.now().minus(idleSince).compareTo(Front.STUCK) > 0;
+  }
+
   Duration idleSince() {
     return idleSince;
   }
 
   @Override public void readable() {
     try {
-      while (!waiting && !over && connection.in.size() > 0) {
+      // the next request waits until the last answer has left: a slow reader holds up no one but itself
+      while (!waiting && !over && connection.out.size() == 0 && connection.in.size() > 0) {
         if (since == null) {
-          since = front.now();
+          since = connection.heard();
         }
         parser.read(connection.in);
       }
     } catch (Malformed e) {
       front.counts().add("bad requests", 1);
       last = true;
+      framingLost = true;
       respond(e.status, "", new byte[0]);
     }
     if (over) {
       connection.in.clear();
     }
+    connection.resume();
+  }
+
+  @Override public void drained() {
+    readable();
   }
 
   private void asked() throws Malformed {
@@ -164,6 +177,8 @@
     waiting = false;
     since = null;
     idleSince = front.now();
+    front.dropBody(body.size());
+    body = new ByteArrayOutputStream();
     last |= front.ending();
     if (!put(HttpWriter.answer(status, last, extra, json))) {
       front.counts().add("answers too large", 1);
@@ -171,9 +186,13 @@
       put(HttpWriter.answer(500, true, "", new byte[0]));
     }
     if (last) {
-      // what still comes is read and dropped: to close on unread bytes would reset the answer away
       over = true;
-      front.linger(connection);
+      if (framingLost) {
+        // what still comes is read and dropped: to close on unread bytes would reset the answer away
+        front.linger(connection);
+      } else {
+        connection.closeAfterFlush();
+      }
     } else {
       front.again(this::readable);
     }
@@ -190,6 +209,8 @@
 
   @Override public void closed() {
     front.gone(this);
+    front.dropBody(body.size());
+    body = new ByteArrayOutputStream();
     if (waiting) {
       waiting = false;
       front.left(this);
--- a/src/main/java/gingerring/front/Front.java
+++ b/src/main/java/gingerring/front/Front.java
@@ -1,6 +1,7 @@
 package gingerring.front;
 
 import gingerring.decide.Terms;
+import gingerring.http.Malformed;
 import gingerring.net.Connection;
 import gingerring.net.Counts;
 import gingerring.net.Network;
@@ -22,6 +23,9 @@
   private static final int OUT_MOST = 1 << 20;
   /** How long a connection that is to end may still be read from. */
   private static final Duration LINGER = Duration.ofMillis(300);
+  /** How long a request or an answer may be under way before its connection may be shed. */
+  static final Duration STUCK = Duration.ofSeconds(10);
+  private static final int BODIES_MOST = 16 << 20;
 
   private final Network network;
   private final Intake intake;
@@ -32,6 +36,7 @@
   private final Consumer<Runnable> again;
   private final int connectionsMost;
   private final int spare;
+  private int bodies;
   private final Set<Client> clients = new LinkedHashSet<>();
 
   /**
@@ -61,8 +66,8 @@
     // scan is nacked, and past twice the room that is left for this the newcomer is closed
     boolean crowded = false;
     if (network.connections() > connectionsMost) {
-      Client idlest = clients.stream().filter(Client::idle).min(Comparator.comparing(Client::idleSince))
-          .orElse(null);
+      Client idlest = clients.stream().filter(each -> each.idle() || each.stuck())
+          .min(Comparator.comparing(Client::idleSince)).orElse(null);
       crowded = idlest == null;
       if (idlest != null) {
         counts.add("idle connections shed", 1);
@@ -127,5 +132,18 @@
 
   void linger(Connection connection) {
     wakeAfter.accept(LINGER, connection::closeAfterFlush);
+    wakeAfter.accept(STUCK, connection::close);
+  }
+
+  /** Guards against many slow senders that together hold more than the memory there is. */
+  void holdBody(int length) throws Malformed {
+    if (bodies + length > BODIES_MOST) {
+      throw new Malformed(503, "too many bodies half sent");
+    }
+    bodies += length;
+  }
+
+  void dropBody(int length) {
+    bodies -= length;
   }
 }
--- a/src/main/java/gingerring/net/Connection.java
+++ b/src/main/java/gingerring/net/Connection.java
@@ -1,6 +1,7 @@
 package gingerring.net;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -13,7 +14,7 @@
 public final class Connection {
   /** What one read brings at most; reading stops while the ring has no room for that. */
   static final int READ = 4096;
-  private static final int IN = 4 * READ;
+  private static final int IN = 2 * READ;
   private static final int OUT_FIRST = 1024;
 
   public final ByteRing in = new ByteRing(IN, IN);
@@ -29,6 +30,7 @@
   private boolean closed;
   private final AtomicBoolean told = new AtomicBoolean();
   private volatile boolean paused;
+  private volatile Duration heard = Duration.ZERO;
 
   Connection(Network network, int outMost) {
     this.network = network;
@@ -52,6 +54,11 @@
     return closed;
   }
 
+  /** When bytes last came into an empty ring. */
+  public Duration heard() {
+    return heard;
+  }
+
   /** How many bytes really left by this connection. */
   public long written() {
     return session == null ? 0 : session.getWrittenBytes();
@@ -66,6 +73,9 @@
   void received(IoBuffer buffer) {
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
+    if (in.size() == 0) {
+      heard = network.inbox.clock();
+    }
     boolean fits = in.put(bytes);
     assert fits : "read past a full ring";
     if (!fits) {
--- a/src/main/java/gingerring/serve/Desk.java
+++ b/src/main/java/gingerring/serve/Desk.java
@@ -89,7 +89,8 @@
   private Back back;
   private Watch watch;
   private boolean ready;
-  private boolean ending;
+  /** Once the end is announced: by when all must be answered. */
+  private Duration endBy;
 
   /** {@code startMs}: Unix time at the loop's zero. */
   Desk(Loop loop, Terms terms, Counts counts, double startMs) {
@@ -118,11 +119,11 @@
   // ---- what happens ----
 
   @Override public boolean ready() {
-    return ready && !ending;
+    return ready && endBy == null;
   }
 
   @Override public boolean ending() {
-    return ending;
+    return endBy != null;
   }
 
   @Override public boolean take(Ask ask, Duration since, Reply reply) {
@@ -134,7 +135,8 @@
       reply.nack(Duration.ZERO);
       return true;
     }
-    Open scan = new Open(new ScanId(ids++), ask, since.plus(ask.patience()), reply);
+    Duration end = since.plus(ask.patience());
+    Open scan = new Open(new ScanId(ids++), ask, endBy != null && endBy.compareTo(end) < 0 ? endBy : end, reply);
     List<Part> parts = new ArrayList<>();
     for (Ask.Piece each : ask.pieces()) {
       Piece piece = new Piece(new PartId(ids++), scan, each.shard());
@@ -148,7 +150,7 @@
     replies.put(reply, scan);
     counts.add("scans taken", 1);
     // whatever becomes of it in the mixer, it is answered by the end of its client's patience
-    loop.wakeAfter(scan.end.minus(now()), () -> overdue(scan));
+    loop.wakeAfter(scan.end.minus(now()), () -> loop.tell(() -> overdue(scan)));
     loop.tell(() -> {
       if (!scan.answered) {
         arrive(scan, parts);
@@ -161,7 +163,7 @@
     try {
       mixer.scanArrived(scan.id, scan.id.number(), scan.ask.grade(), 0, scan.ask.repeat(), scan.ask.work(),
           scan.end, parts);
-    } catch (RuntimeException | AssertionError e) {
+    } catch (RuntimeException | Error e) {
       overdue(scan);
       throw e;
     }
@@ -263,9 +265,9 @@
     loop.tell(() -> mixer.rosterFailed());
   }
 
-  /** The end is announced: no longer ready, and each answer is its connection's last. */
-  void announceEnd() {
-    ending = true;
+  /** The end is announced: no longer ready, each answer its connection's last, none later than {@code by}. */
+  void announceEnd(Duration by) {
+    endBy = by;
   }
 
   int open() {
--- a/src/main/java/gingerring/serve/Loop.java
+++ b/src/main/java/gingerring/serve/Loop.java
@@ -81,7 +81,7 @@
     }
   }
 
-  Duration clock() {
+  @Override public Duration clock() {
     return Duration.ofNanos(System.nanoTime() - startNanos);
   }
 
@@ -104,7 +104,7 @@
   void guard(String what, Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException | AssertionError | StackOverflowError e) {
+    } catch (RuntimeException | Error e) {
       counts.add("failures in " + what, 1);
       if (failures++ < FAILURES_LOGGED) {
         LOG.error("{} failed", what, e);
--- a/src/main/java/gingerring/serve/Serve.java
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -110,11 +110,14 @@
 
   private void announceEnd() {
     LOG.info("ending: {} scans open", desk.open());
-    desk.announceEnd();
-    front.end();
     takeUntil = loop.now().plus(STILL_COMING);
     endBy = loop.now().plus(PATIENCE_MOST).plus(STILL_COMING).minus(END_MARGIN);
-    loop.wakeAfter(STILL_COMING, network::stopListening);
+    desk.announceEnd(endBy);
+    front.end();
+    loop.wakeAfter(STILL_COMING, () -> {
+      network.stopListening();
+      front.end();
+    });
     watchEnd();
   }
 
