Test the real mixer over sockets, with a toy store in example/ as its stand-in

Integration tests start the program and the toy store as children, on ephemeral loopback ports: whole and partial answers, nack, reset and talking-nonsense searchers, splits, chunks, requests in a row, 25 rows of bad input, a full house, a changed roster with drain, crash, restart at another address and a bad line, SIGTERM with a scan open, and what keeps it from starting.

--- a/src/main/java/gingerring/back/Back.java
+++ b/src/main/java/gingerring/back/Back.java
@@ -57,7 +57,8 @@
     idleMost = terms.span("PolicyLimits.ConnIdleMs").minus(dialTimeOut);
     cancels = terms.flag("PolicyLimits.Cancel");
     // where reports come by probes alone, a probe asks for one
-    probeLetter = terms.has("LoadReport.Source") && terms.text("LoadReport.Source").equals("probe") ? 'M' : 'H';
+    boolean byProbe = terms.has("LoadReport.Source") && terms.text("LoadReport.Source").equals("probe");
+    probeLetter = byProbe ? 'M' : 'H';
     wakeAfter.accept(SWEEP, this::sweep);
   }
 
--- a/src/main/java/gingerring/front/Front.java
+++ b/src/main/java/gingerring/front/Front.java
@@ -57,8 +57,8 @@
     asks = new Asks(terms);
   }
 
-  public void listen(InetSocketAddress address) throws IOException {
-    network.listen(address, OUT_MOST, this::accepted);
+  public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+    return network.listen(address, OUT_MOST, this::accepted);
   }
 
   private void accepted(Connection connection) {
--- a/src/main/java/gingerring/json/Json.java
+++ b/src/main/java/gingerring/json/Json.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /**
- * Reads JSON (RFC 8259) strictly: one value, UTF-8, no name twice in an object, no deeper than {@link #DEEPEST}.
+ * Reads JSON (RFC 8259) strictly: one value, UTF-8, no name twice, no deeper than {@link #DEEPEST}.
  * Values come as {@code Map}, {@code List}, {@code String}, {@code Double}, {@code Boolean} and null.
  */
 public final class Json {
--- a/src/main/java/gingerring/net/Network.java
+++ b/src/main/java/gingerring/net/Network.java
@@ -51,8 +51,11 @@
     session.setMaxReadBufferSize(Connection.READ);
   }
 
-  /** Takes connections at an address; each is told to {@code accepted}, which gives it a party. */
-  public void listen(InetSocketAddress address, int outMost, Consumer<Connection> accepted)
+  /**
+   * Takes connections at an address; each is told to {@code accepted}, which gives it a party. Returns the
+   * address, with the port that was free where port 0 was asked for.
+   */
+  public InetSocketAddress listen(InetSocketAddress address, int outMost, Consumer<Connection> accepted)
       throws IOException {
     acceptor = new NioSocketAcceptor(threads, processor);
     acceptor.setReuseAddress(true);
@@ -70,6 +73,7 @@
       }
     });
     acceptor.bind(address);
+    return acceptor.getLocalAddress();
   }
 
   /** Takes no more connections; those there are stay. */
--- a/src/main/java/gingerring/serve/Desk.java
+++ b/src/main/java/gingerring/serve/Desk.java
@@ -136,7 +136,8 @@
       return true;
     }
     Duration end = since.plus(ask.patience());
-    Open scan = new Open(new ScanId(ids++), ask, endBy != null && endBy.compareTo(end) < 0 ? endBy : end, reply);
+    end = endBy != null && endBy.compareTo(end) < 0 ? endBy : end;
+    Open scan = new Open(new ScanId(ids++), ask, end, reply);
     List<Part> parts = new ArrayList<>();
     for (Ask.Piece each : ask.pieces()) {
       Piece piece = new Piece(new PartId(ids++), scan, each.shard());
--- a/src/main/java/gingerring/serve/Loop.java
+++ b/src/main/java/gingerring/serve/Loop.java
@@ -54,7 +54,7 @@
     wakes.add(new Wake(now.plus(span), wakeCount++, task));
   }
 
-  /** What the mixer is to be told once all that is ready has been gathered; from the mixer, in the next turn. */
+  /** Something to tell the mixer once all that is ready has been gathered; from the mixer, next turn. */
   void tell(Runnable telling) {
     tellings.add(telling);
   }
--- a/src/main/java/gingerring/serve/Serve.java
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -8,6 +8,7 @@
 import gingerring.net.Network;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -68,19 +69,20 @@
     front = new Front(network, desk, terms, counts, loop::now, loop::wakeAfter, loop::post,
         Math.max(1, orders.sockets() - SOCKETS_OWN - spare), spare);
     desk.start(back, watch, orders.seed(), orders.known());
+    InetSocketAddress listening;
     try {
-      front.listen(orders.listen());
+      listening = front.listen(orders.listen());
     } catch (IOException e) {
       complaints.println("gingerring serve: cannot listen at " + orders.listen() + ": " + e.getMessage());
       return 1;
     }
     Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "end"));
-    LOG.info("{} listens at {}, {} searchers known", orders.name(), orders.listen(),
+    LOG.info("{} listens at {}, {} searchers known", orders.name(), listening,
         orders.known().members().size());
     status();
     loop.run(this::carryOut);
-    ended.countDown();
     LOG.info("ended; counts: {}", counts);
+    ended.countDown();
     return 0;
   }
 
--- /dev/null
+++ b/src/test/java/gingerring/back/FramesTest.java
@@ -0,0 +1,76 @@
+package gingerring.back;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import gingerring.decide.PartId;
+import gingerring.decide.SearcherId;
+import gingerring.decide.Terms;
+import gingerring.net.ByteRing;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class FramesTest {
+  private static String read(byte[] bytes, int cut) {
+    StringBuilder text = new StringBuilder();
+    Frames frames = new Frames();
+    ByteRing ring = new ByteRing(4096, 4096);
+    Frames.Sink sink = (letter, rest) -> text.append(letter).append(new String(rest,
+        StandardCharsets.ISO_8859_1)).append('|');
+    try {
+      ring.put(bytes, 0, cut);
+      frames.read(ring, sink);
+      ring.put(bytes, cut, bytes.length - cut);
+      frames.read(ring, sink);
+    } catch (Frames.Malformed e) {
+      text.append("malformed");
+    }
+    return text.toString();
+  }
+
+  @Test void readsTheSameOnEverySplit() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    bytes.writeBytes(Frames.frame('R', "a.1 done 5 -\nvalue".getBytes(StandardCharsets.US_ASCII)));
+    bytes.writeBytes(Frames.frame('H', new byte[0]));
+    bytes.writeBytes(new byte[] {0, 0, 0, 0});
+    for (int cut = 0; cut <= bytes.size(); cut++) {
+      assertEquals("Ra.1 done 5 -\nvalue|H|malformed", read(bytes.toByteArray(), cut));
+    }
+  }
+
+  @Test void randomBytesAreFramesOrMalformed() {
+    SplittableRandom random = new SplittableRandom(3);
+    for (int round = 0; round < 20_000; round++) {
+      byte[] bytes = new byte[random.nextInt(40)];
+      random.nextBytes(bytes);
+      for (int i = 1; i < bytes.length; i += 2) {
+        bytes[i] = 0;
+      }
+      read(bytes, random.nextInt(bytes.length + 1));
+    }
+  }
+
+  @Test void writesACallAsTheProtocolHasIt() {
+    Errand errand = new Errand(new PartId(1), 0, new SearcherId(1), "9b1f03aa5c7e2d41", 3,
+        "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "c41e77d0".getBytes(StandardCharsets.US_ASCII),
+        Duration.ofMillis(1240));
+    String line = "S9b1f03aa5c7e2d41 3 d=240,k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211 8\nc41e77d0";
+    byte[] call = Frames.call(List.of(errand), Duration.ofSeconds(1));
+    assertEquals("\0\0\0" + line, new String(call, 1, call.length - 1, StandardCharsets.US_ASCII));
+    assertEquals(line.length(), call[0]);
+  }
+
+  @Test void readsLoadReportsByTheColumnsTold() throws Frames.Malformed {
+    LoadReports reports = new LoadReports(new Terms(Map.of("LoadReport.Columns", "depth,load_share")));
+    assertArrayEquals(new float[] {7, 0.5f}, reports.read("inflight=3,util=0.5,queue=7"));
+    assertEquals(0, reports.read("-").length);
+    assertThrows(Frames.Malformed.class, () -> reports.read("queue"));
+    assertThrows(Frames.Malformed.class, () -> reports.read("queue=NaN"));
+  }
+}
--- /dev/null
+++ b/src/test/java/gingerring/http/HttpParserTest.java
@@ -0,0 +1,84 @@
+package gingerring.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gingerring.net.ByteRing;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class HttpParserTest {
+  /** Writes down what is read. */
+  private static final class Notes implements HttpParser.Sink {
+    final StringBuilder text = new StringBuilder();
+
+    @Override public void head(Head head) {
+      text.append(head);
+    }
+
+    @Override public void body(byte[] bytes, int length) {
+      text.append(new String(bytes, 0, length, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override public void end() {
+      text.append("|end|");
+    }
+  }
+
+  private static String read(boolean requests, byte[] bytes, int... cuts) {
+    Notes notes = new Notes();
+    HttpParser parser = new HttpParser(requests, 1000, notes);
+    ByteRing ring = new ByteRing(4096, 4096);
+    int from = 0;
+    try {
+      for (int i = 0; i <= cuts.length; i++) {
+        int to = i < cuts.length ? cuts[i] : bytes.length;
+        assertTrue(ring.put(bytes, from, to - from));
+        while (ring.size() > 0) {
+          parser.read(ring);
+        }
+        from = to;
+      }
+    } catch (Malformed e) {
+      notes.text.append(e.status);
+    }
+    return notes.text.toString();
+  }
+
+  @Test void readsTheSameOnEverySplit() {
+    String[] messages = {
+        "\r\nPOST /a HTTP/1.1\r\nHost: x\r\nB:  c \r\nB: d\r\nContent-Length: 3\r\n\r\n"
+            + "abcGET / HTTP/1.0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0A;x\r\n0123456789\r\n0\r\n"
+            + "T: u\r\n\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n"};
+    String[] ends = {"abc|end|Head[first=GET, second=/, third=HTTP/1.0, headers={}]|end|",
+        "abc0123456789|end|", "abc400"};
+    for (int m = 0; m < messages.length; m++) {
+      byte[] bytes = messages[m].getBytes(StandardCharsets.ISO_8859_1);
+      String whole = read(true, bytes);
+      assertTrue(whole.endsWith(ends[m]), whole);
+      for (int i = 0; i <= bytes.length; i++) {
+        assertEquals(whole, read(true, bytes, i));
+        assertEquals(whole, read(true, bytes, i, Math.min(bytes.length, i + 1)));
+      }
+    }
+    assertEquals("Head[first=HTTP/1.1, second=200, third=OK x, headers={}]rest",
+        read(false, "HTTP/1.1 200 OK x\r\n\r\nrest".getBytes(StandardCharsets.ISO_8859_1)));
+  }
+
+  @Test void randomBytesEndInAStatusOrWait() {
+    SplittableRandom random = new SplittableRandom(7);
+    String seeds = "GET /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n";
+    for (int round = 0; round < 20_000; round++) {
+      byte[] bytes = seeds.getBytes(StandardCharsets.ISO_8859_1);
+      for (int i = random.nextInt(1, 4); i > 0; i--) {
+        int at = random.nextInt(bytes.length);
+        bytes[at] = random.nextBoolean() ? (byte) random.nextInt() : bytes[random.nextInt(bytes.length)];
+      }
+      String read = read(random.nextBoolean(), bytes);
+      assertTrue(!read.contains("500"), read);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/gingerring/serve/ServeTest.java
@@ -0,0 +1,331 @@
+package gingerring.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the program as a child, before the toy store of the examples, and speaks to it over sockets. */
+@Timeout(60)
+class ServeTest {
+  private static final int WAIT_MS = 10_000;
+  private static final String PARTS = "{\"partition\":0,\"share\":0.6},{\"partition\":1,\"share\":0.3},"
+      + "{\"partition\":2,\"share\":0.1}";
+
+  @TempDir Path folder;
+  private final List<Process> children = new ArrayList<>();
+  private int marks;
+
+  /** A child, the lines it writes, and its standard input. */
+  private record Child(Process process, BlockingQueue<String> lines, PrintStream in) {
+    String line(String with) throws InterruptedException {
+      for (String line = ""; line != null; line = lines.poll(WAIT_MS, TimeUnit.MILLISECONDS)) {
+        if (line.contains(with)) {
+          return line;
+        }
+      }
+      throw new AssertionError("no line with: " + with);
+    }
+  }
+
+  private Child start(List<String> command, Path config) throws IOException {
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    if (config != null) {
+      builder.environment().put("LB_CONFIG", config.toString());
+    }
+    Process process = builder.start();
+    children.add(process);
+    BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+    Thread reader = new Thread(() -> {
+      try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+        out.lines().forEach(lines::add);
+      } catch (IOException | UncheckedIOException e) {
+        // the child has been ended
+      }
+    });
+    reader.setDaemon(true);
+    reader.start();
+    return new Child(process, lines, new PrintStream(process.getOutputStream(), true));
+  }
+
+  private static String java() {
+    return Path.of(System.getProperty("java.home"), "bin", "java").toString();
+  }
+
+  private Child toy;
+  private Child mixer;
+  private int port;
+
+  private Child mixer(String config) throws IOException {
+    Path file = folder.resolve("config-" + children.size() + ".json");
+    Files.writeString(file, config);
+    return start(List.of(java(), "-ea", "-cp", System.getProperty("java.class.path"), "gingerring.Main",
+        "serve"), file);
+  }
+
+  private String config() throws IOException, InterruptedException {
+    toy = start(List.of(java(), "example/ToyStore.java", "0", "4"), null);
+    String discovery = toy.line("discovery at").replace("discovery at ", "");
+    return Files.readString(Path.of("example/config.json")).replace("127.0.0.1:8500", discovery)
+        .replace("127.0.0.1:8081", "127.0.0.1:0");
+  }
+
+  /** Starts both, and waits until the mixer knows the searchers. */
+  private void up(String config) throws Exception {
+    mixer = mixer(config);
+    port = port(mixer);
+    assertEquals(200, send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status);
+    for (int i = 0; i < 100; i++) {
+      if (scan("search", "", PARTS).status == 200) {
+        return;
+      }
+      Thread.sleep(50);
+    }
+    throw new AssertionError("no scan was answered");
+  }
+
+  private static int port(Child mixer) throws InterruptedException {
+    String line = mixer.line("listens at");
+    return Integer.parseInt(line.replaceAll(".*listens at /[0-9.]+:([0-9]+),.*", "$1"));
+  }
+
+  @AfterEach void end() {
+    children.forEach(Process::destroyForcibly);
+  }
+
+  private record Answer(int status, String head, String body) {}
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket("127.0.0.1", port);
+    socket.setSoTimeout(WAIT_MS);
+    return socket;
+  }
+
+  private Answer send(String request) throws IOException {
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return answer(socket);
+    }
+  }
+
+  private static Answer answer(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        throw new IOException("it ended after: " + head);
+      }
+      head.append((char) next);
+    }
+    int length = Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: ([0-9]+).*", "$1"));
+    return new Answer(Integer.parseInt(head.substring(9, 12)), head.toString(),
+        new String(in.readNBytes(length), StandardCharsets.UTF_8));
+  }
+
+  private String request(String lane, String text, String parts) {
+    String body = "{\"targets\":[" + parts + "],\"query\":\"" + text + "\"}";
+    return "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: m" + marks++ + "\r\nx-lane: " + lane
+        + "\r\nX-Remaining-Ms: 2000\r\nIdempotency-Key: k" + marks + "\r\nContent-Length: " + body.length()
+        + "\r\n\r\n" + body;
+  }
+
+  private Answer scan(String lane, String text, String parts) throws IOException {
+    return send(request(lane, text, parts));
+  }
+
+  @Test void answersWholeInPartAndNot() throws Exception {
+    up(config());
+    Answer whole = scan("search", "", PARTS);
+    assertEquals(200, whole.status);
+    assertTrue(whole.body.startsWith("{\"whole\":true,"), whole.body);
+    assertTrue(whole.body.matches(".*\"partition\":2,\"value\":\"value-2-from-[23]\".*"), whole.body);
+    Answer partial = scan("search", "2:silent", PARTS);
+    assertTrue(partial.body.startsWith("{\"whole\":false,") && !partial.body.contains("value-2"),
+        partial.body);
+    toy.in.println("seen");
+    assertTrue(toy.line("recalled").contains("m" + (marks - 1) + ".2"));
+    Answer nacked = scan("search", "0:full 1:full", PARTS);
+    assertEquals(503, nacked.status);
+    assertTrue(nacked.head.contains("Retry-After: 0.5\r\n"), nacked.head);
+    // numbered: a searcher's failure may have run, and to all holders it is the same
+    assertEquals(500, scan("post", "1:failed", "{\"partition\":1,\"share\":1}").status);
+    // a part whose searcher breaks off, or talks nonsense, goes to the other holder
+    assertEquals(200, scan("search", "0:once-reset", PARTS).status);
+    Answer again = scan("search", "1:once-junk", PARTS);
+    assertTrue(again.body.startsWith("{\"whole\":true,"), again.body);
+  }
+
+  @Test void keepsAConnectionThroughSplitsChunksAndRequestsInARow() throws Exception {
+    up(config());
+    try (Socket socket = connect()) {
+      socket.setTcpNoDelay(true);
+      String two = request("search", "", PARTS) + request("post", "", "{\"partition\":7,\"share\":1}");
+      for (char c : two.toCharArray()) {
+        socket.getOutputStream().write(c);
+      }
+      assertEquals(200, answer(socket).status);
+      assertEquals(200, answer(socket).status);
+      String text = "x".repeat(60_000);
+      String[] chunked = request("search", text, PARTS).replaceAll("Content-Length: [0-9]+",
+          "Transfer-Encoding: chunked").split("\r\n\r\n");
+      String half = chunked[1].substring(0, 30_000);
+      String rest = chunked[1].substring(30_000);
+      String pieces = Integer.toHexString(half.length()) + "\r\n" + half + "\r\n"
+          + Integer.toHexString(rest.length()) + ";x=y\r\n" + rest + "\r\n0\r\nA: b\r\n\r\n";
+      socket.getOutputStream().write((chunked[0] + "\r\n\r\n" + pieces).getBytes());
+      assertEquals(200, answer(socket).status);
+    }
+  }
+
+  @Test void answersBadInputPlainly() throws Exception {
+    up(config());
+    String good = request("search", "", PARTS);
+    String[][] bad = {
+        {"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", "404"}, {"PUT /api HTTP/1.1\r\nHost: x\r\n\r\n", "405"},
+        {"POST /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", "405"},
+        {"GET /ready HTTP/1.1\r\n\r\n", "400"}, {"nonsense\r\n\r\n", "400"},
+        {"GET /ready HTTP/1.1\r\nHost x\r\n\r\n", "400"}, {"GET /ready HTTP/1.1\nHost: x\n\n", "400"},
+        {"GET / HTTP/1.1\r\nA: " + "a".repeat(9000) + "\r\n\r\n", "431"},
+        {good.replaceAll("Content-Length: [0-9]+", "Content-Length: 70000"), "413"},
+        {good.replace("Content-Length", "Transfer-Encoding: chunked\r\nContent-Length"), "400"},
+        {good.replaceAll("Content-Length: [0-9]+", "Transfer-Encoding: chunked") + "\r\n", "400"},
+        {good.replaceAll("Content-Length: [0-9]+", "Content-Length: -1"), "400"},
+        {request("nolane", "", PARTS), "400"}, {good.replace("X-Remaining-Ms: 2000", "X: y"), "400"},
+        {request("search", "", ""), "400"}, {request("search", "\\q", PARTS), "400"},
+        {request("search", "", "[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]"), "400"},
+        {request("search", "", "{\"partition\":8,\"share\":1}"), "400"},
+        {request("search", "", "{\"partition\":1.5,\"share\":1}"), "400"},
+        {request("search", "", PARTS + "," + PARTS), "400"},
+        {request("search", "", "{\"partition\":1,\"share\":0}"), "400"},
+        {request("search", "", "{\"partition\":1,\"share\":1e999}"), "400"},
+        {request("search", "", "{\"partition\":1,\"share\":\"1\"}"), "400"},
+        {request("search", "", "{\"partition\":1,\"share\":1,\"route\":\"x\"}"), "400"},
+        {request("post", "", PARTS).replaceAll("Idempotency-Key: .*\r\n", ""), "400"},
+    };
+    for (String[] each : bad) {
+      Answer answer = send(each[0]);
+      assertEquals(each[1], String.valueOf(answer.status), each[0]);
+      assertEquals("", answer.body);
+    }
+    // a client that sends half a request and stays holds no one up, nor does one that leaves
+    try (Socket slow = connect(); Socket leaving = connect()) {
+      slow.getOutputStream().write(good.substring(0, 50).getBytes());
+      leaving.getOutputStream().write(request("search", "0:silent", PARTS).getBytes());
+      leaving.close();
+      assertEquals(200, scan("search", "", PARTS).status);
+    }
+  }
+
+  @Test void nacksWhenItHoldsAllItMay() throws Exception {
+    up(config().replace("\"AimMs\": 600.0", "\"AimMs\": 1800.0"));
+    List<Socket> sockets = new ArrayList<>();
+    for (int i = 0; i < 16; i++) {
+      Socket socket = connect();
+      sockets.add(socket);
+      // of 60 scans and parts held at most, each of these holds four
+      socket.getOutputStream().write(request("search", "0:900 1:900 2:900", PARTS).getBytes());
+    }
+    int nacked = 0;
+    for (Socket socket : sockets) {
+      Answer answer = answer(socket);
+      nacked += answer.status == 503 && !answer.head.contains("Retry-After") ? 1 : 0;
+      socket.close();
+    }
+    assertEquals(1, nacked);
+  }
+
+  @Test void followsTheListThroughDrainsRestartsAndBadLines() throws Exception {
+    up(config());
+    String shard = "{\"partition\":0,\"share\":1}"; // held by searchers 0 and 1
+    toy.in.println("drain 0");
+    toy.in.println("say nonsense");
+    Thread.sleep(300);
+    for (int i = 0; i < 8; i++) {
+      assertTrue(scan("search", "", shard).body.contains("value-0-from-1"));
+    }
+    // the watch is opened anew and its whole list is taken: 0 is back, and 1 dies before the list says so
+    toy.in.println("serve 0");
+    answers(shard, "value-0-from-0");
+    toy.in.println("crash 1");
+    Thread.sleep(100);
+    for (int i = 0; i < 8; i++) {
+      assertTrue(scan("search", "", shard).body.contains("value-0-from-0"));
+    }
+    // it starts again at another address, and is the only one left
+    toy.in.println("revive 1");
+    toy.in.println("gone 0");
+    Thread.sleep(300);
+    answers(shard, "value-0-from-1");
+  }
+
+  /** Asks for a shard until this is the answer. */
+  private void answers(String shard, String value) throws Exception {
+    for (int i = 0; i < 100; i++) {
+      if (scan("search", "", shard).body.contains(value)) {
+        return;
+      }
+      Thread.sleep(50);
+    }
+    throw new AssertionError("never " + value);
+  }
+
+  @Test void endsAtSigtermWithAllScansAnswered() throws Exception {
+    up(config());
+    try (Socket open = connect(); Socket idle = connect()) {
+      open.getOutputStream().write(request("search", "0:400", PARTS).getBytes());
+      Thread.sleep(150);
+      mixer.process.destroy();
+      Thread.sleep(150);
+      assertEquals(-1, idle.getInputStream().read());
+      assertEquals(503, send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status);
+      Answer late = scan("search", "", PARTS);
+      assertTrue(late.status == 200 && late.head.contains("Connection: close"), late.head);
+      Answer taken = answer(open);
+      assertTrue(taken.status == 200 && taken.head.contains("Connection: close"), taken.head);
+    }
+    assertTrue(mixer.process.waitFor(4, TimeUnit.SECONDS));
+    assertEquals(0, mixer.process.exitValue());
+  }
+
+  @Test void namesWhatKeepsItFromStarting() throws Exception {
+    String config = config();
+    try (ServerSocket taken = new ServerSocket(0)) {
+      String[][] unfit = {
+          {"{", "2", "LB_CONFIG"},
+          {config.replace("\"discovery\"", "\"other\""), "2", "discovery is missing"},
+          {config.replace("\"Places\"", "\"Other\""), "2", "setting Domain.Places is missing"},
+          {config.replace("127.0.0.1:0", "localhost:1"), "2", "listen: no address"},
+          {config.replace("[0, 0]", "[3, 0]"), "2", "setting Domain.ClassFetch"},
+          {config.replace("127.0.0.1:0", "127.0.0.1:" + taken.getLocalPort()), "1", "cannot listen"}};
+      for (String[] each : unfit) {
+        Child child = mixer(each[0]);
+        assertTrue(child.process.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(each[1], String.valueOf(child.process.exitValue()));
+        String line = child.lines.poll(5, TimeUnit.SECONDS);
+        assertTrue(line.startsWith("gingerring serve: ") && line.contains(each[2]), line);
+        assertFalse(child.lines.stream().anyMatch(more -> more.contains("at gingerring")));
+      }
+    }
+  }
+}
