--- a/src/main/java/gingerring/back/Back.java
+++ b/src/main/java/gingerring/back/Back.java
@@ -5,6 +5,7 @@
 import gingerring.decide.Terms;
 import gingerring.net.Counts;
 import gingerring.net.Network;
+import gingerring.net.TurnClock;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,8 +14,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.BiConsumer;
-import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,8 +28,7 @@
   private final Network network;
   private final Returns returns;
   private final Counts counts;
-  private final Supplier<Duration> clock;
-  private final BiConsumer<Duration, Runnable> wakeAfter;
+  private final TurnClock clock;
   private final LoadReports reports;
   private final int batch;
   private final int streams;
@@ -42,13 +40,12 @@
   private final Set<Station> busy = new LinkedHashSet<>();
   private Duration complained;
 
-  public Back(Network network, Returns returns, Terms terms, Counts counts, Supplier<Duration> clock,
-      BiConsumer<Duration, Runnable> wakeAfter) {
+  public Back(Network network, Returns returns, Terms terms, Counts counts,
+      TurnClock clock) {
     this.network = network;
     this.returns = returns;
     this.counts = counts;
     this.clock = clock;
-    this.wakeAfter = wakeAfter;
     reports = new LoadReports(terms);
     batch = Math.max(1, (int) terms.number("Domain.Batch", 1));
     streams = Math.max(1, terms.count("PolicyLimits.StreamsPerConn"));
@@ -59,7 +56,7 @@
     // where reports come by probes alone, a probe asks for one
     boolean byProbe = terms.has("LoadReport.Source") && terms.text("LoadReport.Source").equals("probe");
     probeLetter = byProbe ? 'M' : 'H';
-    wakeAfter.accept(SWEEP, this::sweep);
+    clock.wakeAfter(SWEEP, this::sweep);
   }
 
   /** The list has this searcher, at an address, up since a moment (null: long ago). */
@@ -67,7 +64,6 @@
     Station station = stations.computeIfAbsent(id, Station::new);
     boolean moved = station.address != null && !station.address.equals(address);
     station.address = address;
-    station.startedAt = startedAt;
     for (Link link : List.copyOf(station.links)) {
       if (startedAt != null && link.dialled.compareTo(startedAt) < 0) {
         // it was made to a process that is no more: what was out there will not be answered
@@ -95,7 +91,7 @@
     }
     station.outgoing.add(errand);
     busy.add(station);
-    wakeAfter.accept(errand.until.minus(now()), () -> {
+    clock.wakeAfter(errand.until.minus(now()), () -> {
       if (!errand.done) {
         if (errand.link != null) {
           errand.link.timedOut(errand);
@@ -167,7 +163,7 @@
     for (Station station : stations.values()) {
       station.links.stream().filter(Link::stale).toList().forEach(Link::close);
     }
-    wakeAfter.accept(SWEEP, this::sweep);
+    clock.wakeAfter(SWEEP, this::sweep);
   }
 
   /** Errands end once, whatever comes of them later. */
@@ -206,11 +202,11 @@
   }
 
   Duration now() {
-    return clock.get();
+    return clock.now();
   }
 
   void wakeAfter(Duration span, Runnable task) {
-    wakeAfter.accept(span, task);
+    clock.wakeAfter(span, task);
   }
 
   LoadReports reports() {
--- a/src/main/java/gingerring/back/Station.java
+++ b/src/main/java/gingerring/back/Station.java
@@ -2,7 +2,6 @@
 
 import gingerring.decide.SearcherId;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -10,7 +9,6 @@
 final class Station {
   final SearcherId id;
   InetSocketAddress address;
-  Duration startedAt;
   final List<Link> links = new ArrayList<>();
   /** Errands of this turn, not yet made into calls. */
   final List<Errand> outgoing = new ArrayList<>();
--- a/src/main/java/gingerring/discovery/Watch.java
+++ b/src/main/java/gingerring/discovery/Watch.java
@@ -9,11 +9,10 @@
 import gingerring.net.Counts;
 import gingerring.net.Network;
 import gingerring.net.Party;
+import gingerring.net.TurnClock;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.function.BiConsumer;
-import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,21 +39,19 @@
   private final InetSocketAddress address;
   private final Told told;
   private final Counts counts;
-  private final Supplier<Duration> clock;
-  private final BiConsumer<Duration, Runnable> wakeAfter;
+  private final TurnClock clock;
   private long revision;
   private Call watch;
   private Duration complained;
 
   public Watch(Network network, InetSocketAddress address, long revision, Told told, Counts counts,
-      Supplier<Duration> clock, BiConsumer<Duration, Runnable> wakeAfter) {
+      TurnClock clock) {
     this.network = network;
     this.address = address;
     this.revision = revision;
     this.told = told;
     this.counts = counts;
     this.clock = clock;
-    this.wakeAfter = wakeAfter;
   }
 
   /** Opens the watch, if it is not open. */
@@ -89,8 +86,8 @@
 
   private void complain(String what) {
     counts.add("discovery failures", 1);
-    if (complained == null || clock.get().minus(complained).compareTo(COMPLAINTS_APART) > 0) {
-      complained = clock.get();
+    if (complained == null || clock.now().minus(complained).compareTo(COMPLAINTS_APART) > 0) {
+      complained = clock.now();
       LOG.warn("discovery: {}", what);
     }
   }
@@ -101,7 +98,7 @@
     private final HttpParser parser;
     private final ByteArrayOutputStream text = new ByteArrayOutputStream();
     private final Connection connection;
-    private Duration heard = clock.get();
+    private Duration heard = clock.now();
     private boolean ended;
 
     Call(boolean streams) {
@@ -112,8 +109,8 @@
     }
 
     private void listen() {
-      wakeAfter.accept(SILENCE.minus(clock.get().minus(heard)), () -> {
-        if (!ended && clock.get().minus(heard).compareTo(SILENCE) >= 0) {
+      clock.wakeAfter(SILENCE.minus(clock.now().minus(heard)), () -> {
+        if (!ended && clock.now().minus(heard).compareTo(SILENCE) >= 0) {
           fail("silent");
         } else if (!ended) {
           listen();
@@ -129,7 +126,7 @@
     }
 
     @Override public void readable() {
-      heard = clock.get();
+      heard = clock.now();
       try {
         while (!ended && connection.in.size() > 0) {
           parser.read(connection.in);
--- a/src/main/java/gingerring/front/Asks.java
+++ b/src/main/java/gingerring/front/Asks.java
@@ -17,6 +17,9 @@
 /** Reads a scan out of a request's headers and body; whatever is off is a 400. */
 final class Asks {
   private static final int MARK_MOST = 128;
+  private static final long MICROS_MOST = 86_400_000_000L;
+  /** How far from 1 shares may sum up for their rounding. An answer is whole by their sum. */
+  private static final double ROUNDING = 0.01;
 
   private final Map<String, Integer> lanes = new HashMap<>();
   private final List<Boolean> numbered = new ArrayList<>();
@@ -55,13 +58,14 @@
   private static String mark(Head head, String name) throws Malformed {
     String mark = head.header(name);
     if (mark == null || mark.isEmpty() || mark.length() > MARK_MOST
-        || !mark.chars().allMatch(c -> c > ' ' && c < 127 && c != ',' && c != '=')) {
+        || !mark.chars().allMatch(c -> c > ' ' && c < 127 && c != ',')) {
       throw new Malformed(400, "no " + name);
     }
     return mark;
   }
 
   private List<Ask.Piece> pieces(List<Object> targets) throws Json.Malformed {
+    double sum = 0;
     List<Ask.Piece> pieces = new ArrayList<>();
     Set<Integer> seen = new HashSet<>();
     for (Object each : targets) {
@@ -74,18 +78,17 @@
       if (share <= 0) {
         throw new Json.Malformed("share is not positive");
       }
+      sum += share;
       long micros = target.containsKey("est_us") ? Fields.whole(target, "est_us") : 0;
       pieces.add(new Ask.Piece((int) shard, share, Duration.ofNanos(Math.min(micros, MICROS_MOST) * 1000),
           target.containsKey("route") ? route(Fields.text(target, "route")) : 0));
     }
-    if (pieces.isEmpty()) {
-      throw new Json.Malformed("no targets");
+    if (Math.abs(sum - 1) > ROUNDING) {
+      throw new Json.Malformed("the shares do not sum to 1");
     }
     return pieces;
   }
 
-  private static final long MICROS_MOST = 86_400_000_000L;
-
   private static long route(String text) throws Json.Malformed {
     if (!text.matches("[0-9a-fA-F]{16}")) {
       throw new Json.Malformed("route is no 16 hex digits");
--- a/src/main/java/gingerring/front/Front.java
+++ b/src/main/java/gingerring/front/Front.java
@@ -6,6 +6,7 @@
 import gingerring.net.Counts;
 import gingerring.net.Network;
 import gingerring.net.Party;
+import gingerring.net.TurnClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -13,9 +14,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 
 /** The clients' side: takes their connections, reads their scans, hands them on. */
 public final class Front {
@@ -31,8 +30,7 @@
   private final Intake intake;
   private final Asks asks;
   private final Counts counts;
-  private final Supplier<Duration> clock;
-  private final BiConsumer<Duration, Runnable> wakeAfter;
+  private final TurnClock clock;
   private final Consumer<Runnable> again;
   private final int connectionsMost;
   private final int spare;
@@ -40,17 +38,15 @@
   private final Set<Client> clients = new LinkedHashSet<>();
 
   /**
-   * {@code again} runs a task in the next turn, {@code wakeAfter} after a span. Past {@code connectionsMost}
+   * {@code again} runs a task in the next turn. Past {@code connectionsMost}
    * idle connections are closed; {@code spare} more are taken, to nack what comes by them.
    */
-  public Front(Network network, Intake intake, Terms terms, Counts counts, Supplier<Duration> clock,
-      BiConsumer<Duration, Runnable> wakeAfter, Consumer<Runnable> again, int connectionsMost,
-      int spare) {
+  public Front(Network network, Intake intake, Terms terms, Counts counts, TurnClock clock,
+      Consumer<Runnable> again, int connectionsMost, int spare) {
     this.network = network;
     this.intake = intake;
     this.counts = counts;
     this.clock = clock;
-    this.wakeAfter = wakeAfter;
     this.again = again;
     this.connectionsMost = connectionsMost;
     this.spare = spare;
@@ -99,7 +95,7 @@
   }
 
   Duration now() {
-    return clock.get();
+    return clock.now();
   }
 
   Asks asks() {
@@ -131,8 +127,8 @@
   }
 
   void linger(Connection connection) {
-    wakeAfter.accept(LINGER, connection::closeAfterFlush);
-    wakeAfter.accept(STUCK, connection::close);
+    clock.wakeAfter(LINGER, connection::closeAfterFlush);
+    clock.wakeAfter(STUCK, connection::close);
   }
 
   /** Guards against many slow senders that together hold more than the memory there is. */
--- a/src/main/java/gingerring/serve/Loop.java
+++ b/src/main/java/gingerring/serve/Loop.java
@@ -2,6 +2,7 @@
 
 import gingerring.net.Counts;
 import gingerring.net.Inbox;
+import gingerring.net.TurnClock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +16,7 @@
  * The one thread that owns the mixer and all state. Each turn gathers all that is ready, hands it to the
  * mixer in one go, and then carries out what came back.
  */
-final class Loop implements Inbox {
+final class Loop implements Inbox, TurnClock {
   private record Wake(Duration at, long number, Runnable task) implements Comparable<Wake> {
     @Override public int compareTo(Wake other) {
       int byTime = at.compareTo(other.at);
@@ -41,8 +42,7 @@
     this.counts = counts;
   }
 
-  /** The time of this turn, since the start. */
-  Duration now() {
+  @Override public Duration now() {
     return now;
   }
 
@@ -50,7 +50,7 @@
     inbox.add(event);
   }
 
-  void wakeAfter(Duration span, Runnable task) {
+  @Override public void wakeAfter(Duration span, Runnable task) {
     wakes.add(new Wake(now.plus(span), wakeCount++, task));
   }
 
@@ -63,8 +63,8 @@
     running = false;
   }
 
-  /** Turns until it is stopped; {@code carryOut} ends each turn. */
-  void run(Runnable carryOut) {
+  /** Turns until it is stopped; each turn ends in {@code calls}, then {@code flush}. */
+  void run(Runnable calls, Runnable flush) {
     List<Runnable> ready = new ArrayList<>();
     while (running) {
       await(ready);
@@ -77,7 +77,8 @@
       List<Runnable> turn = tellings;
       tellings = new ArrayList<>();
       turn.forEach(telling -> guard("the mixer", telling));
-      guard("carrying out", carryOut);
+      guard("making calls", calls);
+      guard("flushing", flush);
     }
   }
 
--- a/src/main/java/gingerring/serve/Serve.java
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -62,11 +62,10 @@
     double startMs = System.currentTimeMillis() - loop.clock().toNanos() / 1e6;
     network = new Network(loop, counts);
     desk = new Desk(loop, terms, counts, startMs);
-    back = new Back(network, desk, terms, counts, loop::now, loop::wakeAfter);
-    Watch watch = new Watch(network, orders.discovery(), orders.known().revision(), desk, counts, loop::now,
-        loop::wakeAfter);
+    back = new Back(network, desk, terms, counts, loop);
+    Watch watch = new Watch(network, orders.discovery(), orders.known().revision(), desk, counts, loop);
     int spare = SOCKETS_OWN / 2;
-    front = new Front(network, desk, terms, counts, loop::now, loop::wakeAfter, loop::post,
+    front = new Front(network, desk, terms, counts, loop, loop::post,
         Math.max(1, orders.sockets() - SOCKETS_OWN - spare), spare);
     desk.start(back, watch, orders.seed(), orders.known());
     InetSocketAddress listening;
@@ -80,17 +79,12 @@
     LOG.info("{} listens at {}, {} searchers known", orders.name(), listening,
         orders.known().members().size());
     status();
-    loop.run(this::carryOut);
+    loop.run(back::dispatch, network::flush);
     LOG.info("ended; counts: {}", counts);
     ended.countDown();
     return 0;
   }
 
-  private void carryOut() {
-    back.dispatch();
-    network.flush();
-  }
-
   private void status() {
     loop.wakeAfter(STATUS_EVERY, () -> {
       LOG.info("{} scans open, {} clients, {} connections; counts: {}", desk.open(), front.clients(),
--- a/src/test/java/gingerring/serve/ServeTest.java
+++ b/src/test/java/gingerring/serve/ServeTest.java
@@ -12,6 +12,7 @@
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -218,6 +219,7 @@
         {request("search", "", "{\"partition\":1.5,\"share\":1}"), "400"},
         {request("search", "", PARTS + "," + PARTS), "400"},
         {request("search", "", "{\"partition\":1,\"share\":0}"), "400"},
+        {request("search", "", "{\"partition\":1,\"share\":0.5}"), "400"},
         {request("search", "", "{\"partition\":1,\"share\":1e999}"), "400"},
         {request("search", "", "{\"partition\":1,\"share\":\"1\"}"), "400"},
         {request("search", "", "{\"partition\":1,\"share\":1,\"route\":\"x\"}"), "400"},
@@ -238,7 +240,7 @@
   }
 
   @Test void nacksWhenItHoldsAllItMay() throws Exception {
-    up(config().replace("\"AimMs\": 600.0", "\"AimMs\": 1800.0"));
+    up(config().replace("600.0", "1800.0"));
     List<Socket> sockets = new ArrayList<>();
     for (int i = 0; i < 16; i++) {
       Socket socket = connect();
@@ -255,6 +257,39 @@
     assertEquals(1, nacked);
   }
 
+  @Test void closesIdleConnectionsFirstWhereDescriptorsRunShort() throws Exception {
+    // 20 connections for clients and searchers
+    up(config().replace("\"sockets\": 1024", "\"sockets\": 116").replace("600.0", "1800.0"));
+    List<Socket> idle = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      idle.add(connect());
+      Thread.sleep(5);
+      assertEquals(200, scan("search", "", "{\"partition\":0,\"share\":1}").status);
+    }
+    assertEquals(-1, idle.get(0).getInputStream().read());
+    Socket newest = idle.get(29);
+    newest.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
+    assertEquals(200, answer(newest).status);
+    // all of them busy: a newcomer's scan is nacked, and it is told to come by another connection
+    List<Socket> busy = new ArrayList<>();
+    Answer nacked = null;
+    for (int i = 0; i < 28 && nacked == null; i++) {
+      Socket socket = connect();
+      busy.add(socket);
+      socket.getOutputStream().write(request("search", "0:1500", "{\"partition\":0,\"share\":1}").getBytes());
+      socket.setSoTimeout(20);
+      try {
+        nacked = answer(socket);
+      } catch (SocketTimeoutException e) {
+        // taken
+      }
+    }
+    assertTrue(nacked.status == 503 && nacked.head.contains("Connection: close"), nacked.head);
+    for (Socket socket : idle) {
+      socket.close();
+    }
+  }
+
   @Test void followsTheListThroughDrainsRestartsAndBadLines() throws Exception {
     up(config());
     String shard = "{\"partition\":0,\"share\":1}"; // held by searchers 0 and 1
