--- a/example/ToyStore.java
+++ b/example/ToyStore.java
@@ -21,10 +21,11 @@
  *   java example/ToyStore.java DISCOVERY_PORT SEARCHERS
  *
  * Port 0 takes a free one; the first line printed says where discovery listens. Searcher I stands in cell I.
- * A query's text is words SHARD:WHAT, with WHAT one of full, failed, silent, reset, junk or a number of
- * milliseconds to wait; shards not named are answered at once. 'once' before it (3:once-reset) does so only
- * to the first part asked of that shard. Commands on standard input: drain I, serve I, gone I, crash I,
- * revive I, say TEXT (a raw line to all watches), cut (ends all watches), seen (prints what was recalled).
+ * A query's text is words SHARD:WHAT. WHAT is full, failed, silent, reset, one of junk, noline, words and
+ * long (what is not of the protocol), or a number of milliseconds to wait; shards not named are answered at
+ * once. With 'once-' before it (3:once-reset) only the first part of that scan and shard is treated so.
+ * Commands on standard input: drain I, serve I, gone I, crash I, revive I, say TEXT (a raw line to all
+ * watches), cut (ends all watches), seen (prints what was recalled).
  * It ends with its standard input.
  */
 public final class ToyStore {
@@ -242,6 +243,9 @@
       case "silent" -> { }
       case "full", "failed" -> send(socket, "R" + id + " " + what + " 0 -\n");
       case "junk" -> send(socket, "Xjunk");
+      case "noline" -> send(socket, "R" + id);
+      case "words" -> send(socket, "Fwhat was that");
+      case "long" -> socket.getOutputStream().write(new byte[] {-1, -1, -1, 127, 'R'});
       case "reset" -> {
         socket.setSoLinger(true, 0);
         socket.close();
--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -674,6 +674,7 @@
   }
 
   private void lookRound() {
+    wakeAfter(LOOK_ROUND, this::lookRound); // first, so that a failure in one round does not end them all
     Duration now = host.now();
     if (now.minus(coverageMoved).compareTo(COVERAGE_PACE) >= 0) {
       coverageMoved = now;
@@ -701,7 +702,6 @@
         }
       }
     }
-    wakeAfter(LOOK_ROUND, this::lookRound);
   }
 
   /** A probe has come back. */
--- a/src/main/java/gingerring/net/Connection.java
+++ b/src/main/java/gingerring/net/Connection.java
@@ -77,9 +77,8 @@
       heard = network.inbox.clock();
     }
     boolean fits = in.put(bytes);
-    assert fits : "read past a full ring";
+    network.counts.must(fits, "a read fits the ring");
     if (!fits) {
-      network.counts.add("ring overruns", 1);
       session.closeNow();
       return;
     }
--- a/src/main/java/gingerring/net/Counts.java
+++ b/src/main/java/gingerring/net/Counts.java
@@ -12,6 +12,14 @@
     counts.computeIfAbsent(what, name -> new LongAdder()).add(many);
   }
 
+  /** What must hold: asserted in debug builds, counted in release builds. */
+  public void must(boolean holds, String what) {
+    assert holds : what;
+    if (!holds) {
+      add("broken: " + what, 1);
+    }
+  }
+
   public long get(String what) {
     LongAdder count = counts.get(what);
     return count == null ? 0 : count.sum();
--- a/src/main/java/gingerring/serve/Desk.java
+++ b/src/main/java/gingerring/serve/Desk.java
@@ -190,11 +190,13 @@
   }
 
   private void finish(Open scan) {
+    counts.must(!scan.answered, "a scan is answered once");
     scan.answered = true;
     scans.remove(scan.id);
     marks.remove(scan.ask.mark());
     replies.remove(scan.reply);
     held -= 1 + scan.pieces.size();
+    counts.must(held >= 0 && scans.isEmpty() == (held == 0), "what is held is what is open");
     scan.pieces.forEach(this::drop);
   }
 
@@ -303,12 +305,11 @@
         piece == null ? null : ask.key(), piece == null ? null : ask.text(), until);
     boolean over = piece == null || piece.scan.answered || piece.value != null
         || piece.trips.size() >= tripsMost || until.compareTo(now()) <= 0;
-    assert !over : "a trip for a part that is over";
+    counts.must(!over, "a trip is for a part that is not over");
     if (piece != null) {
       piece.trips.add(errand);
     }
     if (over) {
-      counts.add("trips not sent", 1);
       ended(errand, Outcome.NOT_SENT, NONE, null);
     } else {
       back.send(errand);
@@ -333,7 +334,7 @@
         values.put(piece.shard, piece.value);
       }
     }
-    assert !values.isEmpty() : "an answer from nothing";
+    counts.must(!values.isEmpty(), "an answer has values");
     counts.add(whole ? "whole answers" : "partial answers", 1);
     scan.reply.answer(whole, values);
     finish(scan);
--- a/src/main/java/gingerring/serve/Loop.java
+++ b/src/main/java/gingerring/serve/Loop.java
@@ -37,6 +37,7 @@
   private long wakeCount;
   private int failures;
   private boolean running = true;
+  private Thread owner;
 
   Loop(Counts counts) {
     this.counts = counts;
@@ -51,11 +52,13 @@
   }
 
   @Override public void wakeAfter(Duration span, Runnable task) {
+    counts.must(owner == null || owner == Thread.currentThread(), "wakes are asked for on the loop's thread");
     wakes.add(new Wake(now.plus(span), wakeCount++, task));
   }
 
   /** Something to tell the mixer once all that is ready has been gathered; from the mixer, next turn. */
   void tell(Runnable telling) {
+    counts.must(owner == null || owner == Thread.currentThread(), "the mixer is told on the loop's thread");
     tellings.add(telling);
   }
 
@@ -65,6 +68,7 @@
 
   /** Turns until it is stopped; each turn ends in {@code calls}, then {@code flush}. */
   void run(Runnable calls, Runnable flush) {
+    owner = Thread.currentThread();
     List<Runnable> ready = new ArrayList<>();
     while (running) {
       await(ready);
--- a/src/test/java/gingerring/serve/ServeTest.java
+++ b/src/test/java/gingerring/serve/ServeTest.java
@@ -175,6 +175,10 @@
     assertEquals(200, scan("search", "0:once-reset", PARTS).status);
     Answer again = scan("search", "1:once-junk", PARTS);
     assertTrue(again.body.startsWith("{\"whole\":true,"), again.body);
+    for (String nonsense : List.of("noline", "words", "long")) {
+      // the ration of further trips may be spent: the other parts answer then
+      assertEquals(200, scan("search", "1:once-" + nonsense, PARTS).status, nonsense);
+    }
   }
 
   @Test void keepsAConnectionThroughSplitsChunksAndRequestsInARow() throws Exception {
@@ -231,10 +235,11 @@
       assertEquals("", answer.body);
     }
     // a client that sends half a request and stays holds no one up, nor does one that leaves
-    try (Socket slow = connect(); Socket leaving = connect()) {
+    try (Socket slow = connect()) {
       slow.getOutputStream().write(good.substring(0, 50).getBytes());
-      leaving.getOutputStream().write(request("search", "0:silent", PARTS).getBytes());
-      leaving.close();
+      try (Socket leaving = connect()) {
+        leaving.getOutputStream().write(request("search", "0:silent", PARTS).getBytes());
+      }
       assertEquals(200, scan("search", "", PARTS).status);
     }
   }
