--- a/src/main/java/gingerring/back/Link.java
+++ b/src/main/java/gingerring/back/Link.java
@@ -176,6 +176,10 @@
   @Override public void readable() {
     heard = back.now();
     used = heard;
+    if (!connection.usable()) {
+      connection.in.clear();
+      return;
+    }
     try {
       frames.read(connection.in, this::frame);
     } catch (Frames.Malformed e) {
@@ -242,13 +246,17 @@
   /** The searcher's process is known to be gone: what is out ends now, before anything else is told of it. */
   void abandon() {
     connection.close();
-    closed();
+    // how far MINA has written is not known here: whatever was put may have left
+    end(Long.MAX_VALUE);
   }
 
-  /** Ends with what is out on it: what had left whole may have run. */
   @Override public void closed() {
+    end(connection.written());
+  }
+
+  /** Ends with what is out on it: what had left whole may have run. */
+  private void end(long written) {
     station.links.remove(this);
-    long written = connection.written();
     for (Errand errand : new ArrayList<>(out.values())) {
       back.ended(errand, up && errand.frameEnd >= 0 && errand.frameEnd <= written
           ? Outcome.BROKEN : Outcome.UNREACHABLE);
