--- a/src/main/java/gingerring/serve/Desk.java
+++ b/src/main/java/gingerring/serve/Desk.java
@@ -196,7 +196,8 @@
     scans.remove(scan.id);
     marks.remove(scan.ask.mark());
     replies.remove(scan.reply);
-    held -= 1 + scan.pieces.size();
+    // a part that is in is held no longer, as in the simulator
+    held -= 1 + (int) scan.pieces.stream().filter(piece -> piece.value == null).count();
     counts.must(held >= 0 && scans.isEmpty() == (held == 0), "what is held is what is open");
     scan.pieces.forEach(this::drop);
   }
@@ -213,6 +214,7 @@
       boolean over = piece == null || piece.scan.answered || piece.value != null;
       if (piece != null && !over && outcome == Outcome.SUCCEEDED) {
         piece.value = value;
+        held--;
         over = true;
       }
       mixer.tripEnded(errand.part, errand.trip, outcome, over, load);
--- a/src/test/java/gingerring/serve/ServeTest.java
+++ b/src/test/java/gingerring/serve/ServeTest.java
@@ -260,6 +260,20 @@
       socket.close();
     }
     assertEquals(1, nacked);
+    // a part that is in is held no longer: a slow part a scan leaves room for more of them
+    for (int i = 0; i < 20; i++) {
+      Socket socket = connect();
+      socket.getOutputStream().write(request("search", "0:900", PARTS).getBytes());
+      if (i % 10 == 9) {
+        Thread.sleep(500);
+      }
+      sockets.add(socket);
+    }
+    for (Socket socket : sockets.subList(16, 36)) {
+      Answer answer = answer(socket);
+      assertFalse(answer.status == 503 && !answer.head.contains("Retry-After"), answer.head);
+      socket.close();
+    }
   }
 
   @Test void closesIdleConnectionsFirstWhereDescriptorsRunShort() throws Exception {
