--- a/src/main/java/gingerring/back/Frames.java
+++ b/src/main/java/gingerring/back/Frames.java
@@ -6,6 +6,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 
 /** The searchers' frames: a length of four bytes, least first, that covers a letter and the rest. */
@@ -52,7 +53,7 @@
         byte[] whole = frame;
         frame = null;
         headRead = 0;
-        sink.frame((char) whole[0], java.util.Arrays.copyOfRange(whole, 1, whole.length));
+        sink.frame((char) whole[0], Arrays.copyOfRange(whole, 1, whole.length));
       }
     }
   }
--- a/src/main/java/gingerring/back/Link.java
+++ b/src/main/java/gingerring/back/Link.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -225,7 +226,7 @@
     if (errand.frameEnd < 0) {
       throw new Frames.Malformed("R for a part that was not sent yet");
     }
-    byte[] value = java.util.Arrays.copyOfRange(rest, end + 1, rest.length);
+    byte[] value = Arrays.copyOfRange(rest, end + 1, rest.length);
     back.ended(errand, outcome, load, outcome == Outcome.SUCCEEDED ? value : null);
   }
 
--- a/src/main/java/gingerring/discovery/Watch.java
+++ b/src/main/java/gingerring/discovery/Watch.java
@@ -12,6 +12,7 @@
 import gingerring.net.TurnClock;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -161,7 +162,7 @@
     private void line() throws Malformed {
       byte[] line = text.toByteArray();
       text.reset();
-      if (!new String(line, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
+      if (!new String(line, StandardCharsets.ISO_8859_1).isBlank()) {
         try {
           take(line);
         } catch (Json.Malformed e) {
--- a/src/main/java/gingerring/serve/Orders.java
+++ b/src/main/java/gingerring/serve/Orders.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -34,7 +35,7 @@
     Map<String, Object> told;
     try {
       told = Fields.object(Json.read(Files.readAllBytes(Path.of(file))), "it");
-    } catch (IOException | java.nio.file.InvalidPathException e) {
+    } catch (IOException | InvalidPathException e) {
       throw new Unfit("LB_CONFIG names a file that cannot be read: " + file);
     } catch (Json.Malformed e) {
       throw new Unfit("LB_CONFIG: " + e.getMessage());
--- a/src/test/java/gingerring/serve/ServeTest.java
+++ b/src/test/java/gingerring/serve/ServeTest.java
@@ -164,8 +164,13 @@
     Answer partial = scan("search", "2:silent", PARTS);
     assertTrue(partial.body.startsWith("{\"whole\":false,") && !partial.body.contains("value-2"),
         partial.body);
-    toy.in.println("seen");
-    assertTrue(toy.line("recalled").contains("m" + (marks - 1) + ".2"));
+    String recalled = "";
+    for (int i = 0; i < 100 && !recalled.contains("m" + (marks - 1) + ".2"); i++) {
+      Thread.sleep(50);
+      toy.in.println("seen");
+      recalled = toy.line("recalled");
+    }
+    assertTrue(recalled.contains("m" + (marks - 1) + ".2"), recalled);
     Answer nacked = scan("search", "0:full 1:full", PARTS);
     assertEquals(503, nacked.status);
     assertTrue(nacked.head.contains("Retry-After: 0.5\r\n"), nacked.head);
