Follow discovery to the address of a new configuration at SIGHUP

The JVM's own answer to SIGHUP is to end, by way of the hook that ends us at SIGTERM (Serve.run: no handler of HUP, and the file read once).

Now SIGHUP is tended from the first line of Serve.run. The file is read again on the signal's thread, one reading at a time, so that the newest is taken last; the loop only dials. The list in force stays, the watch at the old address too, until there is word from the new one, which is asked for its whole list, since its versions may be counted otherwise. A file that cannot be used changes nothing and costs one line. No trip or scan is touched.

--- a/src/main/java/gingerring/discovery/Watch.java
+++ b/src/main/java/gingerring/discovery/Watch.java
@@ -37,12 +37,14 @@
   private static final Duration COMPLAINTS_APART = Duration.ofSeconds(10);
 
   private final Network network;
-  private final InetSocketAddress address;
   private final Told told;
   private final Counts counts;
   private final TurnClock clock;
+  private InetSocketAddress address;
   private long revision;
   private Call watch;
+  /** The watch at the last address, until there is word from the present one. */
+  private Call former;
   private Duration complained;
 
   public Watch(Network network, InetSocketAddress address, long revision, Told told, Counts counts,
@@ -63,28 +65,42 @@
   }
 
   public void close() {
-    Call open = watch;
+    endQuietly(watch);
     watch = null;
-    if (open != null) {
-      open.endQuietly();
+    endFormer();
+  }
+
+  /**
+   * Discovery is at another address from now on. Its versions may be counted otherwise there, so its whole
+   * list is asked for; until word comes from there the last list stays, and so does the watch at the old address.
+   */
+  public void move(InetSocketAddress to) {
+    if (!to.equals(address)) {
+      endFormer();
+      former = watch;
+      watch = null;
+      address = to;
+      revision = 0;
+      open();
     }
   }
 
-  /** Asks for the whole list once. */
-  public void fetch() {
-    new Call(false);
+  private void endFormer() {
+    endQuietly(former);
+    former = null;
   }
 
-  private void take(byte[] text) throws Json.Malformed {
-    Members members = Members.read(Json.read(text));
-    // a whole list replaces whatever was held; a change that was seen before says nothing new
-    if (members.complete() || members.revision() > revision) {
-      revision = members.revision();
-      counts.add("lists told", 1);
-      told.list(members);
+  private static void endQuietly(Call call) {
+    if (call != null) {
+      call.end(null);
     }
   }
 
+  /** Asks for the whole list once. */
+  public void fetch() {
+    new Call(false);
+  }
+
   private void complain(String what) {
     counts.add("discovery failures", 1);
     if (complained == null || clock.now().minus(complained).compareTo(COMPLAINTS_APART) > 0) {
@@ -98,13 +114,16 @@
     private final boolean streams;
     private final HttpParser parser;
     private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+    private final String host;
     private final Connection connection;
+    private long seen = revision;
     private Duration heard = clock.now();
     private boolean ended;
 
     Call(boolean streams) {
       this.streams = streams;
       parser = new HttpParser(false, streams ? UNBOUNDED : LINE_MOST, this);
+      host = address.getAddress().getHostAddress() + ':' + address.getPort();
       connection = network.dial(address, OUT_MOST, this);
       listen();
     }
@@ -120,8 +139,7 @@
     }
 
     @Override public void opened() {
-      String target = streams ? PATH + "?stream=1&index=" + revision : PATH;
-      String host = address.getAddress().getHostAddress() + ':' + address.getPort();
+      String target = streams ? PATH + "?stream=1&index=" + seen : PATH;
       connection.out.put(HttpWriter.get(target, host, !streams));
       connection.touch();
     }
@@ -162,6 +180,9 @@
     private void line() throws Malformed {
       byte[] line = text.toByteArray();
       text.reset();
+      if (this != former) {
+        endFormer(); // even an empty line is word from the new address
+      }
       if (!new String(line, StandardCharsets.ISO_8859_1).isBlank()) {
         try {
           take(line);
@@ -171,6 +192,19 @@
       }
     }
 
+    private void take(byte[] text) throws Json.Malformed {
+      Members members = Members.read(Json.read(text));
+      // a whole list replaces whatever was held; a change that was seen before says nothing new
+      if (members.complete() || members.revision() > seen) {
+        seen = members.revision();
+        if (this != former) {
+          revision = seen;
+        }
+        counts.add("lists told", 1);
+        told.list(members);
+      }
+    }
+
     @Override public void end() throws Malformed {
       if (!streams) {
         line();
@@ -186,8 +220,11 @@
 
     private void fail(String why) {
       if (!ended) {
+        boolean wanted = this != former;
         end(why);
-        told.failed();
+        if (wanted) {
+          told.failed();
+        }
       }
     }
 
@@ -196,14 +233,13 @@
       if (watch == this) {
         watch = null;
       }
+      if (former == this) {
+        former = null;
+      }
       if (why != null) {
         complain(why);
       }
       connection.close();
     }
-
-    void endQuietly() {
-      end(null);
-    }
   }
 }
--- a/src/main/java/gingerring/serve/Orders.java
+++ b/src/main/java/gingerring/serve/Orders.java
@@ -50,6 +50,12 @@
         seed(told), sockets(told), known(told), new Terms(flat));
   }
 
+  /** Whether what a running mixer cannot take over is the same; seed and known list are for a start alone. */
+  boolean differsOnlyInDiscovery(Orders other) {
+    return name.equals(other.name) && listen.equals(other.listen) && sockets == other.sockets
+        && terms.equals(other.terms);
+  }
+
   /** Nested values as paths to plain ones, lists of objects counted and numbered, as WIRE has them. */
   static void flatten(String path, Object value, Map<String, String> flat) {
     if (value instanceof Map<?, ?> map) {
--- a/src/main/java/gingerring/serve/Serve.java
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
 
 /** Starts a real mixer, runs it in the foreground, and ends it at SIGTERM. */
 public final class Serve {
@@ -29,6 +30,7 @@
   /** Descriptors for the process itself and its searchers, beside those for clients. */
   private static final int SOCKETS_OWN = 64;
 
+  private final Map<String, String> env;
   private final Counts counts = new Counts();
   private final Loop loop = new Loop(counts);
   private final CountDownLatch ended = new CountDownLatch(1);
@@ -36,15 +38,22 @@
   private Front front;
   private Desk desk;
   private Back back;
+  private Watch watch;
+  private Orders inForce;
   private Duration endBy;
   private Duration takeUntil;
 
+  private Serve(Map<String, String> env) {
+    this.env = env;
+  }
+
   /** Returns the exit code. */
   public static int run(Map<String, String> env, PrintStream complaints) {
-    Orders orders;
+    Serve serve = new Serve(env);
+    // before anything is read: untended, SIGHUP ends a process, and one that comes early is not to be lost
+    Signal.handle(new Signal("HUP"), signal -> serve.reload());
     try {
-      orders = Orders.read(env);
-      return new Serve().serve(orders, complaints);
+      return serve.serve(Orders.read(env), complaints);
     } catch (Orders.Unfit | IllegalArgumentException e) {
       complaints.println("gingerring serve: " + e.getMessage());
       return 2;
@@ -63,7 +72,8 @@
     network = new Network(loop, counts);
     desk = new Desk(loop, terms, counts, startMs);
     back = new Back(network, desk, terms, counts, loop);
-    Watch watch = new Watch(network, orders.discovery(), orders.known().revision(), desk, counts, loop);
+    inForce = orders;
+    watch = new Watch(network, orders.discovery(), orders.known().revision(), desk, counts, loop);
     int spare = SOCKETS_OWN / 2;
     front = new Front(network, desk, terms, counts, loop, loop::post,
         Math.max(1, orders.sockets() - SOCKETS_OWN - spare), spare);
@@ -85,6 +95,26 @@
     return 0;
   }
 
+  /**
+   * SIGHUP: the file is read again, on the signal's own thread and one reading at a time, so that the newest
+   * is taken last. What cannot be used changes nothing; what holds for a process from its start waits for
+   * the next.
+   */
+  private synchronized void reload() {
+    try {
+      Orders orders = Orders.read(env);
+      loop.post(() -> takeOver(orders));
+    } catch (Orders.Unfit e) {
+      LOG.warn("reload: the configuration in force stays: {}", e.getMessage());
+    }
+  }
+
+  private void takeOver(Orders orders) {
+    LOG.info("reload: discovery at {}{}", orders.discovery(),
+        orders.differsOnlyInDiscovery(inForce) ? "" : "; what else is new waits for a restart");
+    watch.move(orders.discovery());
+  }
+
   private void status() {
     loop.wakeAfter(STATUS_EVERY, () -> {
       LOG.info("{} scans open, {} clients, {} connections; counts: {}", desk.open(), front.clients(),
--- a/src/test/java/gingerring/serve/ServeTest.java
+++ b/src/test/java/gingerring/serve/ServeTest.java
@@ -75,10 +75,11 @@
 
   private Child toy;
   private Child mixer;
+  private Path file;
   private int port;
 
   private Child mixer(String config) throws IOException {
-    Path file = folder.resolve("config-" + children.size() + ".json");
+    file = folder.resolve("config-" + children.size() + ".json");
     Files.writeString(file, config);
     return start(List.of(java(), "-ea", "-cp", System.getProperty("java.class.path"), "gingerring.Main",
         "serve"), file);
@@ -349,6 +350,43 @@
     throw new AssertionError("never " + value);
   }
 
+  private void hangUp(String config) throws Exception {
+    Files.writeString(file, config);
+    assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + mixer.process.pid()).start().waitFor());
+  }
+
+  /** Guards against a SIGHUP that ends the process, and against one that costs the list or a scan. */
+  @Test void followsDiscoveryToTheAddressOfANewConfiguration() throws Exception {
+    String first = config().replace("600.0", "1800.0");
+    Child old = toy;
+    up(first);
+    String second = config();
+    String third = config();
+    try (Socket open = connect()) {
+      open.getOutputStream().write(request("search", "0:1000", PARTS).getBytes());
+      for (String unfit : List.of("", second.substring(0, 200), second.replace("\"discovery\"", "\"x\""))) {
+        hangUp(unfit);
+        mixer.line("reload: the configuration in force stays");
+      }
+      hangUp(first.replaceAll("\"discovery\": \"[^\"]*\"", "\"discovery\": \"127.0.0.1:1\""));
+      mixer.line("reload: discovery at /127.0.0.1:1");
+      assertTrue(scan("search", "", PARTS).body.startsWith("{\"whole\":true,"));
+      hangUp(second);
+      hangUp(third);
+      assertTrue(answer(open).body.startsWith("{\"whole\":true,"));
+    }
+    // the newer of the two is followed: the others end, and their searchers with them
+    String shard = "{\"partition\":0,\"share\":1}";
+    toy.in.println("gone 0");
+    old.process.destroyForcibly();
+    children.get(2).destroyForcibly();
+    answers(shard, "value-0-from-1");
+    for (int i = 0; i < 8; i++) {
+      assertTrue(scan("search", "", shard).body.contains("value-0-from-1"));
+    }
+    assertTrue(mixer.process.isAlive());
+  }
+
   @Test void endsAtSigtermWithAllScansAnswered() throws Exception {
     up(config());
     try (Socket open = connect(); Socket idle = connect()) {
