--- a/src/main/java/gingerring/discovery/Watch.java
+++ b/src/main/java/gingerring/discovery/Watch.java
@@ -72,7 +72,7 @@
 
   /**
    * Discovery is at another address from now on. Its versions may be counted otherwise there, so its whole
-   * list is asked for; until word comes from there the last list stays, and so does the watch at the old address.
+   * list is asked for; until word comes from there the last list and the watch at the old address stay.
    */
   public void move(InetSocketAddress to) {
     if (!to.equals(address)) {
