--- a/src/main/java/gingerring/serve/Desk.java
+++ b/src/main/java/gingerring/serve/Desk.java
@@ -25,7 +25,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.random.RandomGeneratorFactory;
+import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -108,7 +108,7 @@
   void start(Back back, Watch watch, long seed, Members known) {
     this.back = back;
     this.watch = watch;
-    mixer = new Mixer(terms.map(), RandomGeneratorFactory.of("L64X128MixRandom").create(seed), this);
+    mixer = new Mixer(terms.map(), new SplittableRandom(seed), this);
     list(known);
     if (terms.text("Discovery").equals("automatic")) {
       watch.open();
