Rehearse sample scans before the mixer listens, so that the first are in time

serve.Rehearsal sends 400 sample scans, or as many as 1.5 s allow, from a client's bytes to a stand-in searcher's and back: Front, Client, parsers, Desk, Mixer, Back, Link, on a loop, network and mixer of their own that are dropped after it. The bytes cross MINA's in-VM pipes, so no other address is listened at and nothing of it meets a real client or searcher.

--- a/src/main/java/gingerring/net/Network.java
+++ b/src/main/java/gingerring/net/Network.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -10,12 +11,17 @@
 import java.util.function.Consumer;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoAcceptor;
+import org.apache.mina.core.service.IoConnector;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import org.apache.mina.transport.vmpipe.VmPipeAcceptor;
+import org.apache.mina.transport.vmpipe.VmPipeAddress;
+import org.apache.mina.transport.vmpipe.VmPipeConnector;
 
 /**
  * Apache MINA: one thread reads and writes for those who come in and those we call. Its handlers pass bytes
@@ -34,16 +40,25 @@
     return thread;
   });
   private final Processor processor = new Processor(threads);
-  private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
-  private NioSocketAcceptor acceptor;
+  private final IoConnector connector;
+  private final boolean within;
+  private IoAcceptor acceptor;
   private final Set<Connection> dirty = new LinkedHashSet<>();
   private final Set<Connection> all = new LinkedHashSet<>();
 
-  public Network(Inbox inbox, Counts counts) {
+  /** {@code within}: without sockets, to addresses that this same network listens at, by MINA's pipes. */
+  public Network(Inbox inbox, Counts counts, boolean within) {
     this.inbox = inbox;
     this.counts = counts;
+    this.within = within;
+    if (within) {
+      connector = new VmPipeConnector(threads);
+    } else {
+      NioSocketConnector sockets = new NioSocketConnector(threads, processor);
+      prepare(sockets.getSessionConfig());
+      connector = sockets;
+    }
     connector.setHandler(new Passing());
-    prepare(connector.getSessionConfig());
   }
 
   private static void prepare(SocketSessionConfig session) {
@@ -57,10 +72,7 @@
    */
   public InetSocketAddress listen(InetSocketAddress address, int outMost, Consumer<Connection> accepted)
       throws IOException {
-    acceptor = new NioSocketAcceptor(threads, processor);
-    acceptor.setReuseAddress(true);
-    acceptor.setBacklog(BACKLOG);
-    prepare(acceptor.getSessionConfig());
+    acceptor = within ? new VmPipeAcceptor(threads) : sockets();
     acceptor.setHandler(new Passing() {
       @Override public void sessionCreated(IoSession session) {
         Connection connection = new Connection(Network.this, outMost);
@@ -72,8 +84,20 @@
         });
       }
     });
-    acceptor.bind(address);
-    return acceptor.getLocalAddress();
+    acceptor.bind(place(address));
+    return within ? address : (InetSocketAddress) acceptor.getLocalAddress();
+  }
+
+  private NioSocketAcceptor sockets() {
+    NioSocketAcceptor sockets = new NioSocketAcceptor(threads, processor);
+    sockets.setReuseAddress(true);
+    sockets.setBacklog(BACKLOG);
+    prepare(sockets.getSessionConfig());
+    return sockets;
+  }
+
+  private SocketAddress place(InetSocketAddress address) {
+    return within ? new VmPipeAddress(address.getPort()) : address;
   }
 
   /** Takes no more connections; those there are stay. */
@@ -89,7 +113,7 @@
     Connection connection = new Connection(this, outMost);
     connection.party(party);
     all.add(connection);
-    ConnectFuture dialled = connector.connect(address, (session, future) -> {
+    ConnectFuture dialled = connector.connect(place(address), (session, future) -> {
       session.setAttribute(CONNECTION, connection);
       connection.up(session);
     });
@@ -102,6 +126,16 @@
     return connection;
   }
 
+  /** Ends all there is of it. */
+  public void dispose() {
+    connector.dispose();
+    if (acceptor != null) {
+      acceptor.dispose();
+    }
+    processor.dispose();
+    threads.shutdown();
+  }
+
   /** Connections in hand, those being opened too. */
   public int connections() {
     return all.size();
--- /dev/null
+++ b/src/main/java/gingerring/serve/Rehearsal.java
@@ -0,0 +1,158 @@
+package gingerring.serve;
+
+import gingerring.back.Back;
+import gingerring.decide.Listing.Standing;
+import gingerring.decide.Terms;
+import gingerring.discovery.Members;
+import gingerring.discovery.Watch;
+import gingerring.front.Front;
+import gingerring.net.Connection;
+import gingerring.net.Counts;
+import gingerring.net.Network;
+import gingerring.net.Party;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Before the first client comes, sample scans go the whole way from a client's bytes to a searcher's and back,
+ * through everything that real ones pass but the sockets: on a loop, network and mixer of its own that are
+ * dropped after it. Guards against a first second of answers that are late because the JVM has yet to load
+ * and compile all that they need, on part of a core.
+ */
+final class Rehearsal {
+  private static final int SCANS = 400;
+  private static final Duration LONGEST = Duration.ofMillis(1500);
+  private static final int CALLERS = 4;
+  private static final int PARTS = 6;
+  private static final int OUT_MOST = 1 << 16;
+
+  private final Terms terms;
+  private final Counts counts = new Counts();
+  private final Loop loop = new Loop(counts);
+  private final Network network = new Network(loop, counts, true);
+  private final InetSocketAddress front = place(1);
+  private final InetSocketAddress searchers = place(2);
+  private int asked;
+  private int answered;
+
+  Rehearsal(Terms told) {
+    Map<String, String> map = new HashMap<>(told.map());
+    map.put("Discovery", "none here");
+    terms = new Terms(map);
+  }
+
+  private static InetSocketAddress place(int port) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
+  /** Returns how many sample scans were answered. */
+  int run() throws IOException {
+    Network store = new Network(loop, counts, true);
+    Desk desk = new Desk(loop, terms, counts, 0);
+    Back back = new Back(network, desk, terms, counts, loop);
+    List<Members.Member> members = new ArrayList<>();
+    for (int cell = 0; cell < terms.count("Domain.Places"); cell++) {
+      members.add(new Members.Member("sample-" + cell, searchers, "", "", cell, Standing.READY, 1, 0));
+    }
+    Watch watch = new Watch(network, place(3), 0, desk, counts, loop);
+    desk.start(back, watch, 0, new Members(0, true, members));
+    store.listen(searchers, OUT_MOST, connection -> connection.party(new Sample(connection)));
+    new Front(network, desk, terms, counts, loop, loop::post, Integer.MAX_VALUE / 2, 0).listen(front);
+    for (int i = 0; i < CALLERS; i++) {
+      new Caller();
+    }
+    loop.wakeAfter(LONGEST, loop::stop);
+    loop.run(back::dispatch, () -> {
+      network.flush();
+      store.flush();
+    });
+    network.dispose();
+    store.dispose();
+    return answered;
+  }
+
+  /** Asks for one scan after the other on one connection. */
+  private final class Caller implements Party {
+    private final Connection connection = network.dial(front, OUT_MOST, this);
+
+    @Override public void opened() {
+      ask();
+    }
+
+    private void ask() {
+      int number = asked++;
+      int grade = number % terms.count("Classes.count");
+      int parts = Math.min(PARTS, terms.count("Domain.Slices"));
+      StringBuilder targets = new StringBuilder();
+      for (int i = 0; i < parts; i++) {
+        targets.append(i == 0 ? "" : ",").append("{\"partition\":")
+            .append((number + i) % terms.count("Domain.Slices")).append(",\"share\":").append(1.0 / parts)
+            .append(",\"est_us\":1000}");
+      }
+      String body = "{\"targets\":[" + targets + "],\"query\":\"\"}";
+      connection.out.put(("POST /api HTTP/1.1\r\nHost: sample\r\nX-Txn: sample-" + number + "\r\nX-Lane: "
+          + terms.text("Classes." + grade + ".Name") + "\r\nX-Remaining-Ms: 60000\r\nIdempotency-Key: "
+          + number + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+          .getBytes(StandardCharsets.US_ASCII));
+      connection.touch();
+    }
+
+    @Override public void readable() {
+      // an answer is put whole, and leaves whole
+      connection.in.clear();
+      if (++answered >= SCANS) {
+        loop.stop();
+      } else {
+        ask();
+      }
+    }
+
+    @Override public void closed() {}
+  }
+
+  /** A searcher that has every part at once. */
+  private static final class Sample implements Party {
+    private final Connection connection;
+    private final byte[] bytes = new byte[OUT_MOST];
+    private int held;
+
+    Sample(Connection connection) {
+      this.connection = connection;
+    }
+
+    @Override public void readable() {
+      held += connection.in.take(bytes, held, bytes.length - held);
+      ByteBuffer buffer = ByteBuffer.wrap(bytes, 0, held).order(ByteOrder.LITTLE_ENDIAN);
+      while (buffer.remaining() >= 4 && buffer.remaining() >= 4 + buffer.getInt(buffer.position())) {
+        byte[] frame = new byte[buffer.getInt()];
+        buffer.get(frame);
+        if (frame[0] == 'S') {
+          answer(new String(frame, 1, frame.length - 1, StandardCharsets.US_ASCII));
+        }
+      }
+      buffer.compact();
+      held = buffer.position();
+      connection.resume();
+    }
+
+    private void answer(String parts) {
+      for (String part : parts.split("\n")) { // their text is empty
+        String rest = "R" + part.split(" ", 2)[0] + " done 1 -\nvalue";
+        connection.out.put(ByteBuffer.allocate(4 + rest.length()).order(ByteOrder.LITTLE_ENDIAN)
+            .putInt(rest.length()).put(rest.getBytes(StandardCharsets.US_ASCII)).array());
+      }
+      connection.touch();
+    }
+
+    @Override public void closed() {}
+  }
+}
--- a/src/main/java/gingerring/serve/Serve.java
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -67,9 +67,14 @@
         throw new IllegalArgumentException("setting Domain.ClassFetch: second steps have no form on sockets");
       }
     }
+    try {
+      LOG.info("rehearsed {} scans", new Rehearsal(terms).run());
+    } catch (IOException e) {
+      LOG.warn("no rehearsal: the first scans will be slow", e);
+    }
     // one reading of both clocks
     double startMs = System.currentTimeMillis() - loop.clock().toNanos() / 1e6;
-    network = new Network(loop, counts);
+    network = new Network(loop, counts, false);
     desk = new Desk(loop, terms, counts, startMs);
     back = new Back(network, desk, terms, counts, loop);
     inForce = orders;
--- a/src/test/java/gingerring/serve/DeskTest.java
+++ b/src/test/java/gingerring/serve/DeskTest.java
@@ -1,6 +1,7 @@
 package gingerring.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gingerring.back.Back;
 import gingerring.decide.Terms;
@@ -43,15 +44,24 @@
         List.of(new Ask.Piece(0, 1, Duration.ZERO, 0)), new byte[0]);
   }
 
-  /** Guards against a failure of the decisions on one scan: it alone is scrapped, and that is counted. */
-  @Test void aFailureOfTheMixerScrapsTheScanAtHandAndNoOther() throws IOException, Json.Malformed {
+  private static Terms terms() throws IOException, Json.Malformed {
     Map<String, String> flat = new HashMap<>();
     Map<?, ?> example = (Map<?, ?>) Json.read(Files.readAllBytes(Path.of("example/config.json")));
     Orders.flatten("", example.get("settings"), flat);
-    Terms terms = new Terms(flat);
+    return new Terms(flat);
+  }
+
+  /** Guards against a mixer that compiles what scans need while its first clients wait. */
+  @Test void rehearsesSampleScansThroughAllButTheSockets() throws IOException, Json.Malformed {
+    assertTrue(new Rehearsal(terms()).run() >= 100);
+  }
+
+  /** Guards against a failure of the decisions on one scan: it alone is scrapped, and that is counted. */
+  @Test void aFailureOfTheMixerScrapsTheScanAtHandAndNoOther() throws IOException, Json.Malformed {
+    Terms terms = terms();
     Counts counts = new Counts();
     Loop loop = new Loop(counts);
-    Network network = new Network(loop, counts);
+    Network network = new Network(loop, counts, true);
     Desk desk = new Desk(loop, terms, counts, 0);
     Watch watch = new Watch(network, new InetSocketAddress("127.0.0.1", 1), 0, desk, counts, loop);
     desk.start(new Back(network, desk, terms, counts, loop), watch, 1, new Members(0, true, List.of()));
