Serve connected clients on after SIGTERM; be back sooner from a restart

Now those connected are served as ever until 0.6 s before the end, then each answer is its connection's last, and idle ones go 0.2 s before the end. The end is counted from the longest patience of the settings, 3 s at most.

--- a/src/main/java/gingerring/decide/Terms.java
+++ b/src/main/java/gingerring/decide/Terms.java
@@ -1,10 +1,25 @@
 package gingerring.decide;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 
-/** Reads the values handed over at start; what is needed and missing or unreadable is named. */
-public record Terms(Map<String, String> map) {
+/**
+ * Reads the values handed over at start; what is needed and missing or unreadable is named. Numbers are read
+ * once, since scans ask for them over and over.
+ */
+public final class Terms {
+  private final Map<String, String> map;
+  private final Map<String, Double> numbers = new HashMap<>();
+
+  public Terms(Map<String, String> map) {
+    this.map = map;
+  }
+
+  public Map<String, String> map() {
+    return map;
+  }
+
   public String text(String key) {
     String value = map.get(key);
     if (value == null) {
@@ -14,7 +29,12 @@
   }
 
   public double number(String key) {
-    return parse(key, text(key));
+    Double number = numbers.get(key);
+    if (number == null) {
+      number = parse(key, text(key));
+      numbers.put(key, number);
+    }
+    return number;
   }
 
   public double number(String key, double otherwise) {
--- a/src/main/java/gingerring/front/Asks.java
+++ b/src/main/java/gingerring/front/Asks.java
@@ -13,10 +13,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /** Reads a scan out of a request's headers and body; whatever is off is a 400. */
 final class Asks {
   private static final int MARK_MOST = 128;
+  private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
+  private static final Pattern ROUTE = Pattern.compile("[0-9a-fA-F]{16}");
   private static final long MICROS_MOST = 86_400_000_000L;
   /** How far from 1 shares may sum up for their rounding. An answer is whole by their sum. */
   private static final double ROUNDING = 0.01;
@@ -40,7 +43,7 @@
       throw new Malformed(400, "no known X-Lane");
     }
     String remaining = head.header("X-Remaining-Ms");
-    if (remaining == null || !remaining.matches("[0-9]{1,9}")) {
+    if (remaining == null || !MILLIS.matcher(remaining).matches()) {
       throw new Malformed(400, "no X-Remaining-Ms");
     }
     String key = numbered.get(grade) ? mark(head, "Idempotency-Key") : null;
@@ -90,7 +93,7 @@
   }
 
   private static long route(String text) throws Json.Malformed {
-    if (!text.matches("[0-9a-fA-F]{16}")) {
+    if (!ROUTE.matcher(text).matches()) {
       throw new Json.Malformed("route is no 16 hex digits");
     }
     return Long.parseUnsignedLong(text, 16);
--- a/src/main/java/gingerring/front/Intake.java
+++ b/src/main/java/gingerring/front/Intake.java
@@ -7,7 +7,7 @@
   /** Whether scans are taken: from the start until the end is announced. */
   boolean ready();
 
-  /** Whether the end has been announced, so that every connection is to end with its answer. */
+  /** Whether the end is near, so that every connection is to end with its answer. */
   boolean ending();
 
   /** Takes a scan whose first byte came at {@code since}; false where one of this mark is already in hand. */
--- a/src/main/java/gingerring/http/HttpParser.java
+++ b/src/main/java/gingerring/http/HttpParser.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Reads HTTP/1.1 messages (RFC 9112) from a ring, in whatever pieces they come, and stops after each so that
@@ -24,6 +25,9 @@
   private static final int HEAD_MOST = 8192;
   private static final int SIZE_LINE_MOST = 256;
   private static final int PIECE = 4096;
+  private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
+  private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+  private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,8}");
 
   private enum At { FIRST_LINE, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END }
 
@@ -114,7 +118,7 @@
     }
     words = text.split(" ", requests ? -1 : 3);
     String version = words.length < 2 ? "" : words[requests ? words.length - 1 : 0];
-    if (words.length < 2 || requests && words.length != 3 || !version.matches("HTTP/1\\.[01]")
+    if (words.length < 2 || requests && words.length != 3 || !VERSION.matcher(version).matches()
         || words[0].isEmpty() || words[1].isEmpty()) {
       throw new Malformed(400, "no first line of HTTP/1");
     }
@@ -155,7 +159,7 @@
     if (coding != null) {
       at = At.CHUNK_SIZE;
     } else if (length != null) {
-      if (!length.matches("[0-9]{1,18}")) {
+      if (!LENGTH.matcher(length).matches()) {
         throw new Malformed(400, "no content length");
       }
       left = Long.parseLong(length);
@@ -179,7 +183,7 @@
   private boolean chunkSize(String text) throws Malformed {
     int end = text.indexOf(';');
     String size = (end < 0 ? text : text.substring(0, end)).strip();
-    if (!size.matches("[0-9a-fA-F]{1,8}")) {
+    if (!CHUNK_SIZE.matcher(size).matches()) {
       throw new Malformed(400, "no chunk size");
     }
     left = Long.parseLong(size, 16);
--- a/src/main/java/gingerring/json/Json.java
+++ b/src/main/java/gingerring/json/Json.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Reads JSON (RFC 8259) strictly: one value, UTF-8, no name twice, no deeper than {@link #DEEPEST}.
@@ -23,6 +24,7 @@
   }
 
   static final int DEEPEST = 16;
+  private static final Pattern NUMBER = Pattern.compile("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?");
 
   private final String text;
   private int at;
@@ -179,7 +181,7 @@
       at++;
     }
     String number = text.substring(start, at);
-    if (!number.matches("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")) {
+    if (!NUMBER.matcher(number).matches()) {
       throw wrong("no value");
     }
     return Double.valueOf(number);
--- a/src/main/java/gingerring/serve/Desk.java
+++ b/src/main/java/gingerring/serve/Desk.java
@@ -91,6 +91,7 @@
   private boolean ready;
   /** Once the end is announced: by when all must be answered. */
   private Duration endBy;
+  private boolean lastCall;
 
   /** {@code startMs}: Unix time at the loop's zero. */
   Desk(Loop loop, Terms terms, Counts counts, double startMs) {
@@ -123,7 +124,7 @@
   }
 
   @Override public boolean ending() {
-    return endBy != null;
+    return lastCall;
   }
 
   @Override public boolean take(Ask ask, Duration since, Reply reply) {
@@ -271,11 +272,16 @@
     loop.tell(() -> mixer.rosterFailed());
   }
 
-  /** The end is announced: no longer ready, each answer its connection's last, none later than {@code by}. */
+  /** The end is announced: no longer ready, and no answer later than {@code by}. */
   void announceEnd(Duration by) {
     endBy = by;
   }
 
+  /** The end is near: each answer is its connection's last. */
+  void lastCall() {
+    lastCall = true;
+  }
+
   int open() {
     return scans.size();
   }
--- a/src/main/java/gingerring/serve/Orders.java
+++ b/src/main/java/gingerring/serve/Orders.java
@@ -53,7 +53,7 @@
   /** Whether what a running mixer cannot take over is the same; seed and known list are for a start alone. */
   boolean differsOnlyInDiscovery(Orders other) {
     return name.equals(other.name) && listen.equals(other.listen) && sockets == other.sockets
-        && terms.equals(other.terms);
+        && terms.map().equals(other.terms.map());
   }
 
   /** Nested values as paths to plain ones, lists of objects counted and numbered, as WIRE has them. */
--- a/src/main/java/gingerring/serve/Rehearsal.java
+++ b/src/main/java/gingerring/serve/Rehearsal.java
@@ -29,7 +29,7 @@
  * and compile all that they need, on part of a core.
  */
 final class Rehearsal {
-  private static final int SCANS = 400;
+  private static final int SCANS = 60;
   private static final Duration LONGEST = Duration.ofMillis(1500);
   private static final int CALLERS = 4;
   private static final int PARTS = 6;
--- a/src/main/java/gingerring/serve/Serve.java
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -24,6 +24,9 @@
   /** The longest patience that a restart waits for, and how long before the end the last scans are closed. */
   private static final Duration PATIENCE_MOST = Duration.ofSeconds(3);
   private static final Duration END_MARGIN = Duration.ofMillis(300);
+  /** How long before that each answer becomes its connection's last, and how long the idle ones stay on. */
+  private static final Duration LAST_CALL = Duration.ofMillis(600);
+  private static final Duration CLOSING = Duration.ofMillis(200);
   /** Answers need a moment to leave. */
   private static final Duration FLUSH = Duration.ofMillis(100);
   private static final Duration STATUS_EVERY = Duration.ofSeconds(60);
@@ -41,7 +44,6 @@
   private Watch watch;
   private Orders inForce;
   private Duration endBy;
-  private Duration takeUntil;
 
   private Serve(Map<String, String> env) {
     this.env = env;
@@ -135,17 +137,29 @@
     Runtime.getRuntime().halt(0);
   }
 
+  /**
+   * Clients stay while their connections do, and may have nowhere else to go while other mixers restart too:
+   * they are served on as ever for most of the time that is left, and then moved over answer by answer.
+   */
   private void announceEnd() {
     LOG.info("ending: {} scans open", desk.open());
-    takeUntil = loop.now().plus(STILL_COMING);
-    endBy = loop.now().plus(PATIENCE_MOST).plus(STILL_COMING).minus(END_MARGIN);
+    Terms terms = inForce.terms();
+    Duration patience = Duration.ZERO;
+    for (int i = 0; i < terms.count("Classes.count"); i++) {
+      Duration its = terms.span("Classes." + i + ".HardLimitMs");
+      patience = its.compareTo(patience) > 0 ? its : patience;
+    }
+    patience = patience.compareTo(PATIENCE_MOST) < 0 ? patience : PATIENCE_MOST;
+    endBy = loop.now().plus(patience).plus(STILL_COMING).minus(END_MARGIN);
     desk.announceEnd(endBy);
-    front.end();
-    loop.wakeAfter(STILL_COMING, () -> {
-      network.stopListening();
-      front.end();
+    loop.wakeAfter(STILL_COMING, network::stopListening);
+    loop.wakeAfter(endBy.minus(LAST_CALL).minus(loop.now()), () -> {
+      desk.lastCall();
+      loop.wakeAfter(LAST_CALL.minus(CLOSING), () -> {
+        front.end();
+        watchEnd();
+      });
     });
-    watchEnd();
   }
 
   private void watchEnd() {
@@ -153,7 +167,7 @@
     if (late) {
       desk.scrapAll();
     }
-    if (late || loop.now().compareTo(takeUntil) > 0 && desk.open() == 0) {
+    if (late || desk.open() == 0) {
       loop.wakeAfter(FLUSH, loop::stop);
     } else {
       loop.wakeAfter(FLUSH, this::watchEnd);
