Count the room for clients at accept, and end those who ask for nothing

Front.accepted counted connections on the loop, after accept, and took the longest idle first, so that a usual client's kept connection went before one that had never said anything. Half a request was only shed after 10 s, and only when room was short.

Now Network's acceptor takes no more than there is room for: it gives the loop up to 10 ms to make some and closes the newcomer otherwise. The room is the limit less 40 and 3 for each searcher known, not a fixed 64 and 32. Beyond three quarters of it the loop closes idle connections, those that never asked first. A first request that has not come whole after 2 s gets 408 or a close, a later one too; a connection idle for 60 s is closed; what is read and dropped after an error is bounded to 256 KB.

--- a/src/main/java/gingerring/front/Client.java
+++ b/src/main/java/gingerring/front/Client.java
@@ -28,6 +28,9 @@
   /** Nothing more is read: what still comes is dropped until the client has gone. */
   private boolean over;
   private boolean framingLost;
+  /** Has had an answer to a whole request. */
+  private boolean asked;
+  private int dropped;
 
   Client(Front front, Connection connection, boolean crowded) {
     this.front = front;
@@ -58,13 +61,26 @@
     return !waiting && !over && !parser.midway() && connection.in.size() == 0 && connection.out.size() == 0;
   }
 
-  /** No scan in hand, and a request or an answer that has been on its way for longer than is fair. */
-  boolean stuck() {
-    return !waiting && front.now().minus(idleSince).compareTo(Front.STUCK) > 0;
+  /** Whether this one rather than another may be closed where room is wanted: both are idle. */
+  boolean sparesBefore(Client other) {
+    return asked != other.asked ? other.asked : idleSince.compareTo(other.idleSince) < 0;
   }
 
-  Duration idleSince() {
-    return idleSince;
+  /** Called now and then: ends what takes too long. */
+  void sweep() {
+    Duration idle = front.now().minus(idleSince);
+    if (waiting || over) {
+      return;
+    }
+    if (connection.out.size() > 0) {
+      if (idle.compareTo(Front.LEAVING) > 0) {
+        connection.close();
+      }
+    } else if (since != null && front.now().minus(since).compareTo(Front.COMING) > 0) {
+      refuse(408);
+    } else if (since == null && idle.compareTo(asked ? Front.IDLE : Front.COMING) > 0) {
+      connection.close();
+    }
   }
 
   @Override public void readable() {
@@ -77,17 +93,26 @@
         parser.read(connection.in);
       }
     } catch (Malformed e) {
-      front.counts().add("bad requests", 1);
-      last = true;
-      framingLost = true;
-      respond(e.status, "", new byte[0]);
+      refuse(e.status);
     }
     if (over) {
+      dropped += connection.in.size();
       connection.in.clear();
+      if (dropped > Front.LINGER_BYTES) {
+        connection.close();
+      }
     }
     connection.resume();
   }
 
+  /** Nothing that follows can be told from what was wrong: an error, and the end. */
+  private void refuse(int status) {
+    front.counts().add("bad requests", 1);
+    last = true;
+    framingLost = true;
+    respond(status, "", new byte[0]);
+  }
+
   @Override public void drained() {
     readable();
   }
@@ -176,6 +201,7 @@
   private void respond(int status, String extra, byte[] json) {
     waiting = false;
     since = null;
+    asked |= status == 200 || status == 503;
     idleSince = front.now();
     front.dropBody(body.size());
     body = new ByteArrayOutputStream();
--- a/src/main/java/gingerring/front/Front.java
+++ b/src/main/java/gingerring/front/Front.java
@@ -10,7 +10,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -20,10 +19,16 @@
 public final class Front {
   static final int BODY_MOST = 64 * 1024;
   private static final int OUT_MOST = 1 << 20;
-  /** How long a connection that is to end may still be read from. */
+  /** How long, and for how many bytes, a connection that is to end may still be read from. */
   private static final Duration LINGER = Duration.ofMillis(300);
-  /** How long a request or an answer may be under way before its connection may be shed. */
-  static final Duration STUCK = Duration.ofSeconds(10);
+  static final int LINGER_BYTES = 1 << 18;
+  /** How long a request may take to come, and an answer to leave; and how long a client may say nothing. */
+  static final Duration COMING = Duration.ofSeconds(2);
+  static final Duration LEAVING = Duration.ofSeconds(10);
+  static final Duration IDLE = Duration.ofSeconds(60);
+  private static final Duration SWEEP = Duration.ofMillis(250);
+  /** The share of the clients' connections that may be idle before the longest idle one is closed. */
+  private static final double ROOMY = 0.75;
   private static final int BODIES_MOST = 16 << 20;
 
   private final Network network;
@@ -33,54 +38,57 @@
   private final TurnClock clock;
   private final Consumer<Runnable> again;
   private final int connectionsMost;
-  private final int spare;
   private int bodies;
   private final Set<Client> clients = new LinkedHashSet<>();
 
-  /**
-   * {@code again} runs a task in the next turn. Past {@code connectionsMost}
-   * idle connections are closed; {@code spare} more are taken, to nack what comes by them.
-   */
+  /** {@code again} runs a task in the next turn; so many connections are taken at one time. */
   public Front(Network network, Intake intake, Terms terms, Counts counts, TurnClock clock,
-      Consumer<Runnable> again, int connectionsMost, int spare) {
+      Consumer<Runnable> again, int connectionsMost) {
     this.network = network;
     this.intake = intake;
     this.counts = counts;
     this.clock = clock;
     this.again = again;
     this.connectionsMost = connectionsMost;
-    this.spare = spare;
     asks = new Asks(terms);
+    clock.wakeAfter(SWEEP, this::sweep);
   }
 
   public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-    return network.listen(address, OUT_MOST, this::accepted);
+    return network.listen(address, connectionsMost, OUT_MOST, this::accepted);
   }
 
   private void accepted(Connection connection) {
-    // guards against running out of descriptors: the longest idle goes first; without one the newcomer's
-    // scan is nacked, and past twice the room that is left for this the newcomer is closed
-    boolean crowded = false;
-    if (network.connections() > connectionsMost) {
-      Client idlest = clients.stream().filter(each -> each.idle() || each.stuck())
-          .min(Comparator.comparing(Client::idleSince)).orElse(null);
-      crowded = idlest == null;
-      if (idlest != null) {
+    // guards against running out of descriptors: first goes who never asked for anything, then the longest
+    // idle; where all are busy the newcomer's scan is nacked
+    boolean crowded = clients.size() >= ROOMY * connectionsMost;
+    if (crowded) {
+      Client spare = null;
+      for (Client each : clients) {
+        if (each.idle() && (spare == null || each.sparesBefore(spare))) {
+          spare = each;
+        }
+      }
+      if (spare != null) {
         counts.add("idle connections shed", 1);
-        idlest.close();
+        spare.close();
+        crowded = false;
       }
     }
-    if (network.connections() > connectionsMost + spare) {
-      counts.add("connections turned away", 1);
-      connection.party(Party.NONE);
-      connection.close();
-      return;
-    }
     Client client = new Client(this, connection, crowded);
     connection.party(client);
     clients.add(client);
   }
 
+  /**
+   * Ends connections that a request or an answer has been on for too long, or nothing. Guards against clients
+   * that send half a request or none: they are owed an end, and hold descriptors and memory.
+   */
+  private void sweep() {
+    List.copyOf(clients).forEach(Client::sweep);
+    clock.wakeAfter(SWEEP, this::sweep);
+  }
+
   /** The end is near: connections between requests are closed, the others end with their answers. */
   public void end() {
     List.copyOf(clients).stream().filter(Client::idle).forEach(Client::close);
@@ -128,7 +136,7 @@
 
   void linger(Connection connection) {
     clock.wakeAfter(LINGER, connection::closeAfterFlush);
-    clock.wakeAfter(STUCK, connection::close);
+    clock.wakeAfter(LEAVING, connection::close);
   }
 
   /** Guards against many slow senders that together hold more than the memory there is. */
--- a/src/main/java/gingerring/net/Network.java
+++ b/src/main/java/gingerring/net/Network.java
@@ -3,20 +3,25 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoAcceptor;
 import org.apache.mina.core.service.IoConnector;
 import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import org.apache.mina.transport.vmpipe.VmPipeAcceptor;
@@ -31,6 +36,8 @@
   private static final String CONNECTION = "connection";
   private static final int BACKLOG = 512;
   private static final int STACK = 1 << 18;
+  /** How often, a millisecond apart, room is looked for before a newcomer is closed. */
+  private static final int ROOM_TRIES = 10;
 
   final Inbox inbox;
   final Counts counts;
@@ -43,6 +50,8 @@
   private final IoConnector connector;
   private final boolean within;
   private IoAcceptor acceptor;
+  /** Connections that came in and have not ended. */
+  private final AtomicInteger taken = new AtomicInteger();
   private final Set<Connection> dirty = new LinkedHashSet<>();
   private final Set<Connection> all = new LinkedHashSet<>();
 
@@ -67,13 +76,18 @@
   }
 
   /**
-   * Takes connections at an address; each is told to {@code accepted}, which gives it a party. Returns the
-   * address, with the port that was free where port 0 was asked for.
+   * Takes connections at an address, {@code most} of them at one time; each is told to {@code accepted},
+   * which gives it a party. Returns the address, with the port that was free where port 0 was asked for.
    */
-  public InetSocketAddress listen(InetSocketAddress address, int outMost, Consumer<Connection> accepted)
-      throws IOException {
-    acceptor = within ? new VmPipeAcceptor(threads) : sockets();
+  public InetSocketAddress listen(InetSocketAddress address, int most, int outMost,
+      Consumer<Connection> accepted) throws IOException {
+    acceptor = within ? new VmPipeAcceptor(threads) : sockets(most);
     acceptor.setHandler(new Passing() {
+      @Override public void sessionClosed(IoSession session) {
+        taken.decrementAndGet();
+        super.sessionClosed(session);
+      }
+
       @Override public void sessionCreated(IoSession session) {
         Connection connection = new Connection(Network.this, outMost);
         session.setAttribute(CONNECTION, connection);
@@ -88,8 +102,8 @@
     return within ? address : (InetSocketAddress) acceptor.getLocalAddress();
   }
 
-  private NioSocketAcceptor sockets() {
-    NioSocketAcceptor sockets = new NioSocketAcceptor(threads, processor);
+  private NioSocketAcceptor sockets(int most) {
+    NioSocketAcceptor sockets = new Acceptor(most);
     sockets.setReuseAddress(true);
     sockets.setBacklog(BACKLOG);
     prepare(sockets.getSessionConfig());
@@ -172,6 +186,40 @@
     }
   }
 
+  /**
+   * MINA's acceptor, taking no more than there is room for: it gives the loop a moment to make room, and
+   * closes at once what comes when there is none. Guards against a crowd that takes the last descriptor: the
+   * acceptor would then stand still for a second at a time, and no searcher could be dialled.
+   */
+  private final class Acceptor extends NioSocketAcceptor {
+    private final int most;
+
+    Acceptor(int most) {
+      super(threads, processor);
+      this.most = most;
+    }
+
+    @Override protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle)
+        throws Exception {
+      for (int i = 0; i < ROOM_TRIES && taken.get() >= most; i++) {
+        Thread.sleep(1);
+      }
+      if (taken.get() >= most) {
+        SocketChannel channel = handle.accept();
+        if (channel != null) {
+          channel.close();
+          counts.add("connections turned away", 1);
+        }
+        return null;
+      }
+      NioSession session = super.accept(processor, handle);
+      if (session != null) {
+        taken.incrementAndGet();
+      }
+      return session;
+    }
+  }
+
   private static Connection of(IoSession session) {
     return (Connection) session.getAttribute(CONNECTION);
   }
--- a/src/main/java/gingerring/serve/Rehearsal.java
+++ b/src/main/java/gingerring/serve/Rehearsal.java
@@ -66,8 +66,8 @@
     Watch watch = new Watch(network, place(3), 0, desk, counts, loop);
     desk.start(back, watch, 0, new Members(0, true, members));
     try {
-      store.listen(searchers, OUT_MOST, connection -> connection.party(new Sample(connection)));
-      new Front(network, desk, terms, counts, loop, loop::post, Integer.MAX_VALUE / 2, 0).listen(front);
+      store.listen(searchers, Integer.MAX_VALUE, OUT_MOST, connection -> connection.party(new Sample(connection)));
+      new Front(network, desk, terms, counts, loop, loop::post, CALLERS + 1).listen(front);
     } catch (IOException e) {
       return 0; // without it the mixer starts all the same, and slowly
     }
--- a/src/main/java/gingerring/serve/Serve.java
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -30,8 +30,9 @@
   /** Answers need a moment to leave. */
   private static final Duration FLUSH = Duration.ofMillis(100);
   private static final Duration STATUS_EVERY = Duration.ofSeconds(60);
-  /** Descriptors for the process itself and its searchers, beside those for clients. */
-  private static final int SOCKETS_OWN = 64;
+  /** Descriptors for the process itself, and for each searcher: its link, one that ends, one that comes up. */
+  private static final int SOCKETS_OWN = 40;
+  private static final int SOCKETS_EACH = 3;
 
   private final Map<String, String> env;
   private final Counts counts = new Counts();
@@ -77,9 +78,9 @@
     back = new Back(network, desk, terms, counts, loop);
     inForce = orders;
     watch = new Watch(network, orders.discovery(), orders.known().revision(), desk, counts, loop);
-    int spare = SOCKETS_OWN / 2;
+    int own = SOCKETS_OWN + SOCKETS_EACH * orders.known().members().size();
     front = new Front(network, desk, terms, counts, loop, loop::post,
-        Math.max(1, orders.sockets() - SOCKETS_OWN - spare), spare);
+        Math.max(orders.sockets() / 2, orders.sockets() - own));
     desk.start(back, watch, orders.seed(), orders.known());
     InetSocketAddress listening;
     try {
