Notice a watch that falls silent after 2.5 s, and a list cut short after 1 s

Watch.SILENCE was 6 s, three missed empty lines of 2 s, and held for the first line and for the rest of a half line as well, which come at once. Ruled out: the module, which asks again 0.5 to 1 s after it is told.

May hurt when discovery's agent stands still for seconds: the watch is opened anew each second and a half, at no cost to it.

--- a/example/ToyStore.java
+++ b/example/ToyStore.java
@@ -25,7 +25,8 @@
  * long (what is not of the protocol), or a number of milliseconds to wait; shards not named are answered at
  * once. With 'once-' before it (3:once-reset) only the first part of that scan and shard is treated so.
  * Commands on standard input: drain I, serve I, gone I, crash I, revive I, say TEXT (a raw line to all
- * watches), cut (ends all watches), seen (prints what was recalled).
+ * watches), cut (ends all watches), hush (they stay open and are told nothing more), seen (prints what was
+ * recalled).
  * It ends with its standard input.
  */
 public final class ToyStore {
@@ -108,6 +109,8 @@
         watch.close();
       }
       WATCHES.clear();
+    } else if (words[0].equals("hush")) {
+      WATCHES.clear();
     } else if (words[0].equals("seen")) {
       System.out.println("recalled " + RECALLED);
     } else if (words.length == 2) {
--- a/src/main/java/gingerring/discovery/Watch.java
+++ b/src/main/java/gingerring/discovery/Watch.java
@@ -32,8 +32,10 @@
   private static final int OUT_MOST = 4096;
   private static final int LINE_MOST = 1 << 20;
   private static final long UNBOUNDED = Long.MAX_VALUE / 2;
-  /** An empty line comes every 2 s: three of them missing is silence. */
-  private static final Duration SILENCE = Duration.ofSeconds(6);
+  /** An empty line comes every 2 s; the first line, and the rest of one that has begun, at once. */
+  private static final Duration SILENCE = Duration.ofMillis(2500);
+  private static final Duration LINE = Duration.ofSeconds(1);
+  private static final Duration LISTEN = Duration.ofMillis(250);
   private static final Duration COMPLAINTS_APART = Duration.ofSeconds(10);
 
   private final Network network;
@@ -118,6 +120,7 @@
     private final Connection connection;
     private long seen = revision;
     private Duration heard = clock.now();
+    private long lines;
     private boolean ended;
 
     Call(boolean streams) {
@@ -128,9 +131,11 @@
       listen();
     }
 
+    /** Guards against a connection that stays open and says nothing more, at any point of a list. */
     private void listen() {
-      clock.wakeAfter(SILENCE.minus(clock.now().minus(heard)), () -> {
-        if (!ended && clock.now().minus(heard).compareTo(SILENCE) >= 0) {
+      clock.wakeAfter(LISTEN, () -> {
+        Duration most = lines == 0 || text.size() > 0 ? LINE : SILENCE;
+        if (!ended && clock.now().minus(heard).compareTo(most) >= 0) {
           fail("silent");
         } else if (!ended) {
           listen();
@@ -180,6 +185,7 @@
     private void line() throws Malformed {
       byte[] line = text.toByteArray();
       text.reset();
+      lines++;
       if (this != former) {
         endFormer(); // even an empty line is word from the new address
       }
--- a/src/test/java/gingerring/serve/ServeTest.java
+++ b/src/test/java/gingerring/serve/ServeTest.java
@@ -370,6 +370,15 @@
     answers(shard, "value-0-from-1");
   }
 
+  /** Guards against a watch that stays open and silent while searchers are replaced. */
+  @Test void opensTheWatchAnewWhereItFallsSilent() throws Exception {
+    up(config());
+    for (String command : List.of("hush", "crash 0", "crash 1", "revive 1")) {
+      toy.in.println(command);
+    }
+    answers("{\"partition\":0,\"share\":1}", "value-0-from-1");
+  }
+
   /** Asks for a shard until this is the answer. */
   private void answers(String shard, String value) throws Exception {
     for (int i = 0; i < 100; i++) {
