Keep hushed watches of the toy store open

They were closed when the collector found them, so that the test of a silent watch passed with a silence of 6 s too. It now fails with 6 s and passes with 2.5 s.

--- a/example/ToyStore.java
+++ b/example/ToyStore.java
@@ -50,6 +50,7 @@
 
   private static final List<Searcher> SEARCHERS = new ArrayList<>();
   private static final List<OutputStream> WATCHES = new CopyOnWriteArrayList<>();
+  private static final List<OutputStream> HUSHED = new ArrayList<>();
   private static final Set<String> ONCE = ConcurrentHashMap.newKeySet();
   private static final Set<String> RECALLED = ConcurrentHashMap.newKeySet();
   private static int revision = 1;
@@ -111,6 +112,7 @@
       WATCHES.clear();
     } else if (words[0].equals("hush")) {
       tell("");
+      HUSHED.addAll(WATCHES); // kept, since what nobody refers to any more is closed
       WATCHES.clear();
     } else if (words[0].equals("seen")) {
       System.out.println("recalled " + RECALLED);
