End the trip of a spoilt answer at once, and believe only what is whole

Now an unreadable report is no report. An answer to a part that is neither out nor lately was, an unknown end, an empty value or one that is no text, and a frame that has not come whole after the dial time-out spoil the connection: it is closed, and all that was out on it may have run. A second copy of the last answers is late, not spoilt. From clients: half a surrogate pair in a query would have reached a searcher changed and is a 400; patience is at most what the settings give the grade.

Before the first turn the loop's time stood at zero, so that a start that took a second opened its watch twice: Loop.now.

The toy store speaks each kind; the new test fails at the frame that stops short without the change.

--- a/example/ToyStore.java
+++ b/example/ToyStore.java
@@ -21,9 +21,10 @@
  *   java example/ToyStore.java DISCOVERY_PORT SEARCHERS
  *
  * Port 0 takes a free one; the first line printed says where discovery listens. Searcher I stands in cell I.
- * A query's text is words SHARD:WHAT. WHAT is full, failed, silent, reset, one of junk, noline, words and
- * long (what is not of the protocol), or a number of milliseconds to wait; shards not named are answered at
- * once. With 'once-' before it (3:once-reset) only the first part of that scan and shard is treated so.
+ * A query's text is words SHARD:WHAT. WHAT is full, failed, silent, reset, one of junk, noline, words, long,
+ * short, stranger, end, bytes, nothing (what is not of the protocol), one of report, twice, noise (a good
+ * answer with more than belongs to it), or a number of milliseconds to wait; shards not named are answered
+ * at once. With 'once-' before it (3:once-reset) only the first part of that scan and shard is treated so.
  * Commands on standard input: drain I, serve I, gone I, crash I, revive I, say TEXT (a raw line to all
  * watches), cut (ends all watches), hush (they stay open and are told nothing more), seen (prints what was
  * recalled).
@@ -252,6 +253,16 @@
       case "noline" -> send(socket, "R" + id);
       case "words" -> send(socket, "Fwhat was that");
       case "long" -> socket.getOutputStream().write(new byte[] {-1, -1, -1, 127, 'R'});
+      case "short" -> socket.getOutputStream().write(new byte[] {99, 0, 0, 0, 'R', 'x'});
+      case "stranger" -> send(socket, "Rno-one.1 done 7 -\nvalue-of-no-one");
+      case "end" -> send(socket, "R" + id + " gone 7 -\nvalue");
+      case "bytes" -> send(socket, "R" + id + " done 7 -\n", (byte) 0xC3, (byte) 0x28);
+      case "nothing" -> send(socket, "R" + id + " done 7 -\n");
+      case "report" -> send(socket, "R" + id + " done 7 in=x,flight\nvalue-" + shard);
+      case "twice", "noise" -> {
+        send(socket, "R" + id + " done 7 -\nvalue-" + shard);
+        send(socket, what.equals("twice") ? "R" + id + " done 7 -\nvalue-again" : "noise");
+      }
       case "reset" -> {
         socket.setSoLinger(true, 0);
         socket.close();
@@ -263,10 +274,10 @@
     }
   }
 
-  private static void send(Socket socket, String frame) throws IOException {
+  private static void send(Socket socket, String frame, byte... more) throws IOException {
     byte[] bytes = frame.getBytes(StandardCharsets.UTF_8);
-    byte[] whole = ByteBuffer.allocate(4 + bytes.length).order(ByteOrder.LITTLE_ENDIAN).putInt(bytes.length)
-        .put(bytes).array();
+    byte[] whole = ByteBuffer.allocate(4 + bytes.length + more.length).order(ByteOrder.LITTLE_ENDIAN)
+        .putInt(bytes.length + more.length).put(bytes).put(more).array();
     synchronized (socket) {
       socket.getOutputStream().write(whole);
     }
--- a/src/main/java/gingerring/back/Back.java
+++ b/src/main/java/gingerring/back/Back.java
@@ -46,7 +46,7 @@
     this.returns = returns;
     this.counts = counts;
     this.clock = clock;
-    reports = new LoadReports(terms);
+    reports = new LoadReports(terms, counts);
     batch = Math.max(1, (int) terms.number("Domain.Batch", 1));
     streams = Math.max(1, terms.count("PolicyLimits.StreamsPerConn"));
     dialTimeOut = terms.span("PolicyLimits.DialTimeoutMs");
--- a/src/main/java/gingerring/back/Frames.java
+++ b/src/main/java/gingerring/back/Frames.java
@@ -26,12 +26,24 @@
   }
 
   private static final int HEAD = 4;
-  static final int FRAME_MOST = 1 << 18;
+  /** A value goes on in an answer of 64 KiB at most. */
+  static final int FRAME_MOST = (1 << 16) + 1024;
 
   private final byte[] head = new byte[HEAD];
   private int headRead;
   private byte[] frame;
   private int read;
+  private long framesRead;
+
+  /** How many whole frames were read. */
+  long framesRead() {
+    return framesRead;
+  }
+
+  /** Whether a frame has begun to come and has not come whole. */
+  boolean midway() {
+    return headRead > 0;
+  }
 
   /** Reads all whole frames there are; the rest of one that is cut waits for its next bytes. */
   void read(ByteRing in, Sink sink) throws Malformed {
@@ -53,6 +65,7 @@
         byte[] whole = frame;
         frame = null;
         headRead = 0;
+        framesRead++;
         sink.frame((char) whole[0], Arrays.copyOfRange(whole, 1, whole.length));
       }
     }
--- a/src/main/java/gingerring/back/Link.java
+++ b/src/main/java/gingerring/back/Link.java
@@ -3,6 +3,8 @@
 import gingerring.decide.Outcome;
 import gingerring.net.Connection;
 import gingerring.net.Party;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -10,8 +12,10 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** One connection to a searcher, with the calls and probes that are out on it. */
 final class Link implements Party {
@@ -24,6 +28,8 @@
     }
   }
 
+  private static final int PAST_MOST = 512;
+
   private final Back back;
   private final Station station;
   private final Connection connection;
@@ -31,6 +37,8 @@
   /** Calls that wait for the connection to come up. */
   private final Deque<List<Errand>> waiting = new ArrayDeque<>();
   private final Map<String, Errand> out = new LinkedHashMap<>();
+  /** The latest parts that are out no more: an answer to any other is spoilt. */
+  private final Set<String> past = new LinkedHashSet<>();
   private final Deque<Probe> probes = new ArrayDeque<>();
   private boolean probeWaits;
   private boolean up;
@@ -57,7 +65,7 @@
   /** Whether a call may go by this link now. */
   boolean takes(List<Errand> call, int streams) {
     return !retired && connection.usable() && out.size() + call.size() <= streams && !stale()
-        && call.stream().noneMatch(errand -> out.containsKey(errand.mark));
+        && call.stream().noneMatch(errand -> out.containsKey(errand.mark) || past.contains(errand.mark));
   }
 
   /** It has stood idle for so long that the searcher may be closing it. */
@@ -120,7 +128,7 @@
 
   /** Gives a trip up: the searcher is told where its frame has been put. */
   void recall(Errand errand) {
-    out.remove(errand.mark);
+    remove(errand);
     if (errand.frameEnd >= 0 && connection.open()) {
       put(Frames.recall(errand));
     }
@@ -129,7 +137,7 @@
 
   /** A trip has timed out: nothing is sent, and a link that has told nothing since is not trusted on. */
   void timedOut(Errand errand) {
-    out.remove(errand.mark);
+    remove(errand);
     if (heard.compareTo(dialled) <= 0 || back.now().minus(heard).compareTo(back.dialTimeOut()) > 0) {
       retired = true;
     }
@@ -184,13 +192,30 @@
     try {
       frames.read(connection.in, this::frame);
     } catch (Frames.Malformed e) {
-      back.complain("a searcher's frame could not be used: " + e.getMessage());
-      connection.in.clear();
-      connection.close();
+      spoilt(e.getMessage());
+    }
+    if (frames.midway() && connection.usable()) {
+      // answers are written whole: guards against one that stops short, or whose length is not its own
+      long read = frames.framesRead();
+      back.wakeAfter(back.dialTimeOut(), () -> {
+        if (frames.framesRead() == read && connection.usable()) {
+          spoilt("a frame stopped short");
+        }
+      });
     }
     closeIfSpent();
   }
 
+  /**
+   * Where the next frame begins can no longer be told, so nothing more of it is believed. The part it was for
+   * may have run, and so may all others out on it: they end as on a connection that breaks.
+   */
+  private void spoilt(String what) {
+    back.complain("a searcher's frame could not be used: " + what);
+    connection.in.clear();
+    connection.close();
+  }
+
   private void frame(char letter, byte[] rest) throws Frames.Malformed {
     switch (letter) {
       case 'R' -> result(rest);
@@ -216,10 +241,11 @@
       case "full" -> Outcome.FULL;
       default -> throw new Frames.Malformed("R with an unknown end");
     };
-    float[] load = back.reports().read(words[3]);
-    Errand errand = out.remove(words[0]);
+    Errand errand = out.get(words[0]);
     if (errand == null) {
-      // recalled, timed out or answered before, or never asked
+      if (!past.contains(words[0])) {
+        throw new Frames.Malformed("R for a part that is not known");
+      }
       back.counts().add("late answers", 1);
       return;
     }
@@ -227,7 +253,30 @@
       throw new Frames.Malformed("R for a part that was not sent yet");
     }
     byte[] value = Arrays.copyOfRange(rest, end + 1, rest.length);
-    back.ended(errand, outcome, load, outcome == Outcome.SUCCEEDED ? value : null);
+    if (outcome == Outcome.SUCCEEDED && (value.length == 0 || !text(value))) {
+      throw new Frames.Malformed("R with a value that is no text");
+    }
+    remove(errand);
+    back.ended(errand, outcome, back.reports().read(words[3]), outcome == Outcome.SUCCEEDED ? value : null);
+  }
+
+  /** Whether a value can stand in a client's answer as it is. */
+  private static boolean text(byte[] value) {
+    try {
+      StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(value));
+      return true;
+    } catch (CharacterCodingException e) {
+      return false;
+    }
+  }
+
+  /** No longer out; an answer may still come, late or for a second time. */
+  private void remove(Errand errand) {
+    out.remove(errand.mark);
+    past.add(errand.mark);
+    if (past.size() > PAST_MOST) {
+      past.remove(past.iterator().next());
+    }
   }
 
   private void probed(char letter, String answer) throws Frames.Malformed {
--- a/src/main/java/gingerring/back/LoadReports.java
+++ b/src/main/java/gingerring/back/LoadReports.java
@@ -1,6 +1,7 @@
 package gingerring.back;
 
 import gingerring.decide.Terms;
+import gingerring.net.Counts;
 import java.util.Map;
 
 /** Puts the figures of a searcher's load report in the order of the columns that the mixer was told. */
@@ -11,41 +12,43 @@
       "load_share", "util", "mean_ms", "latency_ms", "tps", "qps", "err_ps", "eps");
 
   private final String[] columns;
+  private final Counts counts;
 
-  LoadReports(Terms terms) {
+  LoadReports(Terms terms, Counts counts) {
+    this.counts = counts;
     String told = terms.has("LoadReport.Columns") ? terms.text("LoadReport.Columns") : "";
     columns = told.isEmpty() ? new String[0] : told.split(",");
   }
 
-  float[] read(String text) throws Frames.Malformed {
+  /** What cannot be read is no report: it says nothing of the answer that it came with. */
+  float[] read(String text) {
     if (text.equals("-") || columns.length == 0) {
       return NONE;
     }
     float[] load = new float[columns.length];
-    for (String pair : text.split(",")) {
+    for (String pair : text.split(",", -1)) {
       int equals = pair.indexOf('=');
-      if (equals < 1) {
-        throw new Frames.Malformed("no load report");
+      String name = pair.substring(0, Math.max(0, equals));
+      float figure = figure(pair.substring(equals + 1));
+      if (equals < 1 || Float.isNaN(figure)) {
+        counts.add("unreadable load reports", 1);
+        return NONE;
       }
-      String name = pair.substring(0, equals);
       for (int i = 0; i < columns.length; i++) {
         if (columns[i].equals(name) || name.equals(NAMES.get(columns[i]))) {
-          load[i] = figure(pair.substring(equals + 1));
+          load[i] = figure;
         }
       }
     }
     return load;
   }
 
-  private static float figure(String text) throws Frames.Malformed {
+  private static float figure(String text) {
     try {
       float figure = Float.parseFloat(text);
-      if (Float.isFinite(figure)) {
-        return figure;
-      }
+      return Float.isFinite(figure) ? figure : Float.NaN;
     } catch (NumberFormatException e) {
-      // falls through to the complaint
+      return Float.NaN;
     }
-    throw new Frames.Malformed("no figure in a load report");
   }
 }
--- a/src/main/java/gingerring/front/Asks.java
+++ b/src/main/java/gingerring/front/Asks.java
@@ -5,9 +5,13 @@
 import gingerring.http.Malformed;
 import gingerring.json.Fields;
 import gingerring.json.Json;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,11 +30,13 @@
 
   private final Map<String, Integer> lanes = new HashMap<>();
   private final List<Boolean> numbered = new ArrayList<>();
+  private final List<Duration> patience = new ArrayList<>();
   private final int shards;
 
   Asks(Terms terms) {
     for (int i = 0; i < terms.count("Classes.count"); i++) {
       lanes.put(terms.text("Classes." + i + ".Name"), i);
+      patience.add(terms.span("Classes." + i + ".HardLimitMs"));
       numbered.add(terms.text("Classes." + i + ".Idempotency").equals("deduplicated"));
     }
     shards = terms.count("Domain.Slices");
@@ -50,13 +56,29 @@
     try {
       Map<String, Object> object = Fields.object(Json.read(body), "the body");
       return new Ask(mark, grade, "1".equals(head.header("X-Resent")), key,
-          Duration.ofMillis(Long.parseLong(remaining)), pieces(Fields.list(object, "targets")),
-          Fields.text(object, "query").getBytes(StandardCharsets.UTF_8));
+          patience(grade, Long.parseLong(remaining)), pieces(Fields.list(object, "targets")),
+          bytes(Fields.text(object, "query")));
     } catch (Json.Malformed e) {
       throw new Malformed(400, e.getMessage());
     }
   }
 
+  /** No client of a grade waits longer than the settings say. Guards against a figure that keeps it here. */
+  private Duration patience(int grade, long millis) {
+    Duration most = patience.get(grade);
+    return Duration.ofMillis(millis).compareTo(most) < 0 ? Duration.ofMillis(millis) : most;
+  }
+
+  /** A searcher is to get the text unchanged: half of a surrogate pair has no bytes. */
+  private static byte[] bytes(String text) throws Json.Malformed {
+    try {
+      ByteBuffer bytes = StandardCharsets.UTF_8.newEncoder().encode(CharBuffer.wrap(text));
+      return Arrays.copyOf(bytes.array(), bytes.limit());
+    } catch (CharacterCodingException e) {
+      throw new Json.Malformed("query is no text");
+    }
+  }
+
   /** A mark goes into the searchers' frames as it is, so nothing that frames are cut by may stand in it. */
   private static String mark(Head head, String name) throws Malformed {
     String mark = head.header(name);
--- a/src/main/java/gingerring/http/HttpWriter.java
+++ b/src/main/java/gingerring/http/HttpWriter.java
@@ -7,7 +7,8 @@
 /** Writes HTTP/1.1 messages whole. */
 public final class HttpWriter {
   private static final Map<Integer, String> REASONS = Map.of(200, "OK", 400, "Bad Request", 404, "Not Found",
-      405, "Method Not Allowed", 408, "Request Timeout", 413, "Content Too Large", 431, "Request Header Fields Too Large",
+      405, "Method Not Allowed", 408, "Request Timeout", 413, "Content Too Large",
+      431, "Request Header Fields Too Large",
       500, "Internal Server Error", 503, "Service Unavailable");
   public static final byte[] CONTINUE = ascii("HTTP/1.1 100 Continue\r\n\r\n");
 
--- a/src/main/java/gingerring/serve/Loop.java
+++ b/src/main/java/gingerring/serve/Loop.java
@@ -44,7 +44,7 @@
   }
 
   @Override public Duration now() {
-    return now;
+    return owner == null ? clock() : now; // before the first turn
   }
 
   @Override public void post(Runnable event) {
@@ -53,7 +53,7 @@
 
   @Override public void wakeAfter(Duration span, Runnable task) {
     counts.must(owner == null || owner == Thread.currentThread(), "wakes are asked for on the loop's thread");
-    wakes.add(new Wake(now.plus(span), wakeCount++, task));
+    wakes.add(new Wake(now().plus(span), wakeCount++, task));
   }
 
   /** Something to tell the mixer once all that is ready has been gathered; from the mixer, next turn. */
--- a/src/main/java/gingerring/serve/Rehearsal.java
+++ b/src/main/java/gingerring/serve/Rehearsal.java
@@ -23,9 +23,9 @@
 import java.util.Map;
 
 /**
- * Before the first client comes, sample scans go the whole way from a client's bytes to a searcher's and back,
- * through everything that real ones pass but the sockets: on a loop, network and mixer of its own that are
- * dropped after it. Guards against a first second of answers that are late because the JVM has yet to load
+ * Before the first client comes, sample scans go the whole way from a client's bytes to a searcher's and
+ * back, through everything that real ones pass but the sockets: on a loop, network and mixer of its own that
+ * are dropped after it. Guards against a first second of answers that are late because the JVM has yet to load
  * and compile all that they need, on part of a core.
  */
 final class Rehearsal {
@@ -66,7 +66,8 @@
     Watch watch = new Watch(network, place(3), 0, desk, counts, loop);
     desk.start(back, watch, 0, new Members(0, true, members));
     try {
-      store.listen(searchers, Integer.MAX_VALUE, OUT_MOST, connection -> connection.party(new Sample(connection)));
+      store.listen(searchers, Integer.MAX_VALUE, OUT_MOST,
+          connection -> connection.party(new Sample(connection)));
       new Front(network, desk, terms, counts, loop, loop::post, CALLERS + 1).listen(front);
     } catch (IOException e) {
       return 0; // without it the mixer starts all the same, and slowly
--- a/src/main/java/gingerring/serve/Serve.java
+++ b/src/main/java/gingerring/serve/Serve.java
@@ -30,7 +30,7 @@
   /** Answers need a moment to leave. */
   private static final Duration FLUSH = Duration.ofMillis(100);
   private static final Duration STATUS_EVERY = Duration.ofSeconds(60);
-  /** Descriptors for the process itself, and for each searcher: its link, one that ends, one that comes up. */
+  /** Descriptors for the process, and for each searcher: its link, one that ends, one that comes up. */
   private static final int SOCKETS_OWN = 40;
   private static final int SOCKETS_EACH = 3;
 
--- a/src/test/java/gingerring/serve/ServeTest.java
+++ b/src/test/java/gingerring/serve/ServeTest.java
@@ -187,6 +187,25 @@
     }
   }
 
+  /** Guards against waiting on a searcher that answers with what is not of the protocol, or believing it. */
+  @Test void spoiltAnswersEndTheirTripsAtOnceAndGoodOnesCount() throws Exception {
+    up(config().replace("600.0", "1800.0"));
+    String shard = "{\"partition\":1,\"share\":1}";
+    for (String spoilt : List.of("junk", "short", "stranger", "end", "bytes", "nothing")) {
+      for (int i = 0; i < 8; i++) {
+        scan("search", "", PARTS); // the ration of further trips grows by them
+      }
+      long start = System.nanoTime();
+      Answer answer = scan("post", "1:once-" + spoilt, shard);
+      assertTrue(answer.body.matches(".*\"value-1-from-[12]\".*"), spoilt + ": " + answer);
+      assertTrue(System.nanoTime() - start < 1_000_000_000L, spoilt);
+    }
+    for (String more : List.of("report", "twice", "noise")) {
+      assertTrue(scan("post", "1:" + more, shard).body.contains("\"value-1\""), more);
+      assertTrue(scan("post", "", shard).body.contains("\"value-1-from-"), more);
+    }
+  }
+
   @Test void keepsAConnectionThroughSplitsChunksAndRequestsInARow() throws Exception {
     up(config());
     try (Socket socket = connect()) {
@@ -224,6 +243,7 @@
         {good.replaceAll("Content-Length: [0-9]+", "Content-Length: -1"), "400"},
         {request("nolane", "", PARTS), "400"}, {good.replace("X-Remaining-Ms: 2000", "X: y"), "400"},
         {request("search", "", ""), "400"}, {request("search", "\\q", PARTS), "400"},
+        {request("search", "\\ud800", PARTS), "400"},
         {request("search", "", "[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]"), "400"},
         {request("search", "", "{\"partition\":8,\"share\":1}"), "400"},
         {request("search", "", "{\"partition\":1.5,\"share\":1}"), "400"},
