Forget searchers that have gone; end no idle connection that was just read from

Searchers that were ever listed stayed in the module's roster, in Back's stations and in Desk's two maps, and the roster's size bounds what the cold guard lets through (Mixer.coldRoom): after some hundred replaced searchers a cold one would have got ever less. Tests turn 3,000 and 2,000 searchers over and find nothing kept.

Now Connection.closeIfUnread decides under the lock that reads are done under: what was read is served, what comes later stays unread and is sent again.

--- a/src/main/java/gingerring/back/Back.java
+++ b/src/main/java/gingerring/back/Back.java
@@ -64,6 +64,7 @@
     Station station = stations.computeIfAbsent(id, Station::new);
     boolean moved = station.address != null && !station.address.equals(address);
     station.address = address;
+    station.gone = false;
     for (Link link : List.copyOf(station.links)) {
       if (startedAt != null && link.dialled.compareTo(startedAt) < 0) {
         // it was made to a process that is no more: what was out there will not be answered
@@ -78,6 +79,7 @@
   public void gone(SearcherId id) {
     Station station = stations.get(id);
     if (station != null) {
+      station.gone = true;
       List.copyOf(station.links).forEach(Link::retire);
     }
   }
@@ -158,14 +160,21 @@
     }
   }
 
-  /** Closes what has stood idle for its time. */
+  /** Closes what has stood idle for its time, and forgets who has gone. */
   private void sweep() {
+    stations.values().removeIf(station -> station.gone && station.links.isEmpty()
+        && station.outgoing.isEmpty());
     for (Station station : stations.values()) {
       station.links.stream().filter(Link::stale).toList().forEach(Link::close);
     }
     clock.wakeAfter(SWEEP, this::sweep);
   }
 
+  /** How many searchers something is kept for. */
+  public int stations() {
+    return stations.size();
+  }
+
   /** Errands end once, whatever comes of them later. */
   void ended(Errand errand, Outcome outcome) {
     ended(errand, outcome, NONE, null);
--- a/src/main/java/gingerring/back/Station.java
+++ b/src/main/java/gingerring/back/Station.java
@@ -9,6 +9,8 @@
 final class Station {
   final SearcherId id;
   InetSocketAddress address;
+  /** The list no longer has it: forgotten once nothing is out there. */
+  boolean gone;
   final List<Link> links = new ArrayList<>();
   /** Errands of this turn, not yet made into calls. */
   final List<Errand> outgoing = new ArrayList<>();
--- a/src/main/java/gingerring/decide/Mixer.java
+++ b/src/main/java/gingerring/decide/Mixer.java
@@ -775,9 +775,9 @@
 
   /** The roster has been told: all of it, or what changed. */
   public void rosterTold(List<Listing> lines, boolean all) {
-    arriving();
+    Duration now = arriving();
     // a searcher that has gone, or has started anew, is judged anew; what was out there will be late
-    for (Searcher searcher : roster.told(lines, all,
+    for (Searcher searcher : roster.told(lines, all, each -> each.spent(now) && !cold(each, now),
         id -> new Searcher(id, HEALTH_MEMORY, HEALTH_BUCKETS, tipAfter, BUCKETS))) {
       searcher.benchedUntil = null;
       searcher.forget();
--- a/src/main/java/gingerring/decide/Roster.java
+++ b/src/main/java/gingerring/decide/Roster.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /** The searchers that a mixer has been told of, and which of them hold a shard. */
 public final class Roster {
@@ -27,7 +28,7 @@
     return searchers.get(id);
   }
 
-  /** All that were ever told of, in the order of their ids. */
+  /** All that were told of and have not gone for good, in the order of their ids. */
   public Collection<Searcher> all() {
     return searchers.values();
   }
@@ -41,8 +42,13 @@
     return holders;
   }
 
-  /** Takes in a whole list or a change to it; returns those that have gone or have started anew. */
-  public List<Searcher> told(List<Listing> lines, boolean all, Function<SearcherId, Searcher> newcomer) {
+  /**
+   * Takes in a whole list or a change to it; returns those that have gone or have started anew. Those spent
+   * are forgotten first: a mixer outlives thousands of searchers.
+   */
+  public List<Searcher> told(List<Listing> lines, boolean all, Predicate<Searcher> spent,
+      Function<SearcherId, Searcher> newcomer) {
+    searchers.values().removeIf(spent);
     Map<SearcherId, Listing> told = new TreeMap<>();
     for (Searcher searcher : searchers.values()) {
       if (all) {
--- a/src/main/java/gingerring/decide/Searcher.java
+++ b/src/main/java/gingerring/decide/Searcher.java
@@ -50,6 +50,11 @@
         && errors.sum(now) == 0;
   }
 
+  /** Gone, and nothing is out there or counts in the cold guard's window. */
+  public boolean spent(Duration now) {
+    return listing.standing() == Listing.Standing.GONE && out.isEmpty() && sends.sum(now) == 0;
+  }
+
   /** Drops what was measured of it: it is to be judged anew. */
   public void forget() {
     unheard = Duration.ZERO;
--- a/src/main/java/gingerring/front/Client.java
+++ b/src/main/java/gingerring/front/Client.java
@@ -79,7 +79,7 @@
     } else if (since != null && front.now().minus(since).compareTo(Front.COMING) > 0) {
       refuse(408);
     } else if (since == null && idle.compareTo(asked ? Front.IDLE : Front.COMING) > 0) {
-      connection.close();
+      leave();
     }
   }
 
@@ -229,8 +229,9 @@
     return connection.closed() || connection.out.put(bytes);
   }
 
-  void close() {
-    connection.close();
+  /** Ends it, unless a request has just come. */
+  boolean leave() {
+    return connection.closeIfUnread();
   }
 
   @Override public void closed() {
--- a/src/main/java/gingerring/front/Front.java
+++ b/src/main/java/gingerring/front/Front.java
@@ -69,9 +69,8 @@
           spare = each;
         }
       }
-      if (spare != null) {
+      if (spare != null && spare.leave()) {
         counts.add("idle connections shed", 1);
-        spare.close();
         crowded = false;
       }
     }
@@ -91,7 +90,7 @@
 
   /** The end is near: connections between requests are closed, the others end with their answers. */
   public void end() {
-    List.copyOf(clients).stream().filter(Client::idle).forEach(Client::close);
+    List.copyOf(clients).stream().filter(Client::idle).forEach(Client::leave);
   }
 
   public int clients() {
--- a/src/main/java/gingerring/net/Connection.java
+++ b/src/main/java/gingerring/net/Connection.java
@@ -30,6 +30,9 @@
   private boolean closed;
   private final AtomicBoolean told = new AtomicBoolean();
   private volatile boolean paused;
+  /** Bytes were read that are not in the ring yet; and nothing more is to be read. Both under this lock. */
+  private boolean unput;
+  private boolean unheeded;
   private volatile Duration heard = Duration.ZERO;
 
   Connection(Network network, int outMost) {
@@ -70,6 +73,14 @@
 
   // ---- MINA's thread ----
 
+  boolean unheeded() {
+    return unheeded;
+  }
+
+  void wasRead(boolean some) {
+    unput |= some;
+  }
+
   void received(IoBuffer buffer) {
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
@@ -77,6 +88,9 @@
       heard = network.inbox.clock();
     }
     boolean fits = in.put(bytes);
+    synchronized (this) {
+      unput = false;
+    }
     network.counts.must(fits, "a read fits the ring");
     if (!fits) {
       session.closeNow();
@@ -162,6 +176,22 @@
     network.dirty(this);
   }
 
+  /**
+   * Ends the connection at once if nothing has been read from it that its party has not seen; nothing is from
+   * then on. Guards against a request that is read just as its connection is ended for being idle: its client
+   * would take it for lost, while one that was never read is sent again.
+   */
+  public boolean closeIfUnread() {
+    synchronized (this) {
+      if (unput || in.size() > 0) {
+        return false;
+      }
+      unheeded = true;
+    }
+    close();
+    return true;
+  }
+
   /** Ends the connection at once; its party is told all the same. */
   public void close() {
     closing = true;
--- a/src/main/java/gingerring/net/Network.java
+++ b/src/main/java/gingerring/net/Network.java
@@ -184,6 +184,15 @@
     @Override protected void wakeup() {
       super.wakeup();
     }
+
+    @Override protected int read(NioSession session, IoBuffer buffer) throws Exception {
+      Connection connection = of(session);
+      synchronized (connection) {
+        int count = connection.unheeded() ? 0 : super.read(session, buffer);
+        connection.wasRead(count > 0);
+        return count;
+      }
+    }
   }
 
   /**
--- a/src/main/java/gingerring/serve/Desk.java
+++ b/src/main/java/gingerring/serve/Desk.java
@@ -22,9 +22,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -80,7 +83,7 @@
   private final Map<ScanId, Open> scans = new LinkedHashMap<>();
   private final Map<PartId, Piece> pieces = new HashMap<>();
   private final Map<String, Open> marks = new HashMap<>();
-  private final Map<Reply, Open> replies = new HashMap<>();
+  private final Map<Reply, Open> replies = new IdentityHashMap<>();
   private final Map<String, SearcherId> searchers = new HashMap<>();
   private final Map<SearcherId, Listing> listed = new HashMap<>();
   private long ids;
@@ -250,12 +253,27 @@
       }
     }
     if (members.complete()) {
-      listed.keySet().stream().filter(id -> lines.stream().noneMatch(line -> line.searcher().equals(id)))
-          .toList().forEach(back::gone);
+      Set<SearcherId> told = new HashSet<>();
+      lines.forEach(line -> told.add(line.searcher()));
+      listed.keySet().stream().filter(id -> !told.contains(id)).toList().forEach(this::forget);
     }
+    lines.stream().filter(line -> line.standing() == Listing.Standing.GONE).map(Listing::searcher)
+        .forEach(this::forget);
     loop.tell(() -> mixer.rosterTold(lines, members.complete()));
   }
 
+  /** A searcher that has gone gets the same number again if it is listed again. */
+  private void forget(SearcherId id) {
+    back.gone(id);
+    listed.remove(id);
+    searchers.values().remove(id);
+  }
+
+  /** How many scans, parts and searchers something is kept for. */
+  int kept() {
+    return scans.size() + pieces.size() + marks.size() + replies.size() + searchers.size() + listed.size();
+  }
+
   /** The same number at every mixer, and of two names that hash alike the second the next one free. */
   private SearcherId newId(String name) {
     long hash = 0xcbf29ce484222325L;
--- a/src/test/java/gingerring/decide/MixerTest.java
+++ b/src/test/java/gingerring/decide/MixerTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -30,6 +31,28 @@
     }
   }
 
+  /** Guards against a roster that grows with every searcher there ever was, and a cold guard with it. */
+  @Test void forgetsSearchersThatHaveGoneUnlessSomethingIsOutThere() {
+    Roster roster = new Roster(4, 2);
+    Searcher busy = null;
+    for (int i = 0; i < 2000; i++) {
+      Duration now = ms(100 * i);
+      List<Listing> lines = new ArrayList<>(List.of(line(i, i % 4, Listing.Standing.READY, null)));
+      if (i >= 4) {
+        lines.add(line(i - 4, i % 4, Listing.Standing.GONE, null));
+      }
+      roster.told(lines, false, each -> each.spent(now), id -> new Searcher(id, ms(1000), 10,
+          ms(1000), 10));
+      if (i == 5) {
+        busy = roster.get(new SearcherId(5));
+        Part part = new Part(new PartId(1), 1, 1, 0);
+        part.trips.add(busy.send(part, now, 1));
+      }
+      assertTrue(roster.all().size() <= 6, () -> roster.all().size() + " at " + now);
+      assertEquals(i >= 5, roster.all().contains(busy), "" + i);
+    }
+  }
+
   @Test void underPressureSendsTheHeaviestPartsDownToTheFloorAndClimbsBack() {
     Stage stage = new Stage(PARTIAL).fleet(4);
     for (int second = 0; second < 8; second++) {
--- /dev/null
+++ b/src/test/java/gingerring/net/ConnectionTest.java
@@ -0,0 +1,75 @@
+package gingerring.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.time.Duration;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class ConnectionTest {
+  private final LinkedBlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+  private final Network network = new Network(new Inbox() {
+    @Override public void post(Runnable event) {
+      events.add(event);
+    }
+
+    @Override public Duration clock() {
+      return Duration.ofNanos(System.nanoTime());
+    }
+  }, new Counts(), false);
+  private Connection accepted;
+
+  private Socket connect() throws Exception {
+    InetSocketAddress at = network.listen(new InetSocketAddress("127.0.0.1", 0), 10, 1000, connection -> {
+      connection.party(Party.NONE);
+      accepted = connection;
+    });
+    Socket socket = new Socket(at.getAddress(), at.getPort());
+    while (accepted == null) {
+      events.poll(10, TimeUnit.SECONDS).run();
+    }
+    events.poll(10, TimeUnit.SECONDS).run(); // it is open
+    return socket;
+  }
+
+  /** Guards against a request that was read and is dropped with its idle connection. */
+  @Test void aConnectionIsNotEndedAsIdleOnceSomethingWasRead() throws Exception {
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(7);
+      Runnable told = events.poll(10, TimeUnit.SECONDS);
+      assertFalse(accepted.closeIfUnread());
+      told.run();
+      assertTrue(accepted.open());
+    }
+    network.dispose();
+  }
+
+  @Test void nothingIsReadOnceAConnectionIsEndedAsIdle() throws Exception {
+    try (Socket socket = connect()) {
+      synchronized (accepted) { // MINA's thread cannot read before it is ended
+        socket.getOutputStream().write(7);
+        Thread.sleep(100);
+        assertTrue(accepted.closeIfUnread());
+      }
+      assertEquals(-1, read(socket));
+      assertEquals(0, accepted.in.size());
+    }
+    network.dispose();
+  }
+
+  private static int read(Socket socket) throws Exception {
+    try {
+      return socket.getInputStream().read();
+    } catch (SocketException e) {
+      return -1; // what was not read resets it
+    }
+  }
+}
--- a/src/test/java/gingerring/serve/DeskTest.java
+++ b/src/test/java/gingerring/serve/DeskTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gingerring.back.Back;
+import gingerring.decide.Listing.Standing;
 import gingerring.decide.Terms;
 import gingerring.discovery.Members;
 import gingerring.discovery.Watch;
@@ -56,6 +57,37 @@
     assertTrue(new Rehearsal(terms()).run() >= 50);
   }
 
+  /** Guards against a mixer that keeps something of every searcher and scan there ever was. */
+  @Test void keepsNothingOfSearchersAndScansThatHaveGone() throws IOException, Json.Malformed {
+    Counts counts = new Counts();
+    Loop loop = new Loop(counts);
+    Network network = new Network(loop, counts, true);
+    Desk desk = new Desk(loop, terms(), counts, 0);
+    Back back = new Back(network, desk, terms(), counts, loop);
+    InetSocketAddress nobody = new InetSocketAddress("127.0.0.1", 9);
+    desk.start(back, new Watch(network, nobody, 0, desk, counts, loop), 1, new Members(0, true, List.of()));
+    List<String> answers = new ArrayList<>();
+    int rounds = 3000;
+    for (int i = 0; i < rounds; i++) {
+      int number = i;
+      loop.post(() -> {
+        desk.list(new Members(number + 1, false, List.of(
+            new Members.Member("s-" + number, nobody, "a", "toy", number % 4, Standing.READY, 1, 0),
+            new Members.Member("s-" + (number - 4), nobody, "a", "toy", number % 4, Standing.GONE, 1, 0))));
+        desk.take(ask("m" + number, 0), loop.now(), new Notes("scan", answers));
+      });
+    }
+    loop.post(() -> loop.wakeAfter(Duration.ofMillis(4500), () -> {
+      desk.list(new Members(rounds + 1, true, List.of()));
+      loop.wakeAfter(Duration.ofMillis(1500), loop::stop);
+    }));
+    loop.run(back::dispatch, network::flush);
+    assertEquals(rounds, answers.size());
+    assertEquals(0, desk.kept());
+    assertEquals(0, back.stations());
+    assertEquals(0, network.connections());
+  }
+
   /** Guards against a failure of the decisions on one scan: it alone is scrapped, and that is counted. */
   @Test void aFailureOfTheMixerScrapsTheScanAtHandAndNoOther() throws IOException, Json.Malformed {
     Terms terms = terms();
