--- /dev/null
+++ b/cli/src/main/java/gingerring/cli/EmulateCommand.java
@@ -0,0 +1,63 @@
+package gingerring.cli;
+
+import gingerring.emulator.core.Referee;
+import gingerring.emulator.core.World;
+import gingerring.emulator.run.MixerProcess;
+import gingerring.emulator.run.Store;
+import gingerring.traffic.wire.Reactor;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "emulate", mixinStandardHelpOptions = true,
+    description = "Runs a described store (boxes and discovery) on 127.0.0.1 until standard input ends.")
+final class EmulateCommand implements Callable<Integer> {
+  @Parameters(index = "0", paramLabel = "FILE", description = "the description, in JSON")
+  private Path file;
+
+  @Option(names = "--pace", defaultValue = "1",
+      description = "how much faster troubles and warm-ups run (${DEFAULT-VALUE})")
+  private double pace;
+
+  @Option(names = "--with-mixer", description = "run a mixer before it too")
+  private boolean mixer;
+
+  @Option(names = "--record", paramLabel = "FILE", description = "with --with-mixer: what it records to")
+  private Path record;
+
+  @Spec private CommandSpec spec;
+
+  @Override public Integer call() throws Exception {
+    World world = Worlds.read(file);
+    Reactor reactor = new Reactor();
+    Referee referee = new Referee(world);
+    Store store = new Store(world, reactor, referee, Worlds.pace(pace));
+    reactor.post(store::begin);
+    Thread thread = new Thread(reactor::run, "emulator");
+    thread.setDaemon(true);
+    thread.start();
+    spec.commandLine().getOut().println("discovery at 127.0.0.1:" + store.discovery().getPort());
+    if (mixer) {
+      try (MixerProcess process = MixerProcess.start(world, store.discovery(), store.list(), record)) {
+        spec.commandLine().getOut().println("mixer at 127.0.0.1:" + process.address().getPort());
+        awaitEnd();
+        process.end();
+      }
+    } else {
+      awaitEnd();
+    }
+    reactor.stop();
+    return 0;
+  }
+
+  private static void awaitEnd() throws IOException {
+    while (System.in.read() >= 0) {
+      // until it ends
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/gingerring/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command {@code gingerring}: reads arguments, prints, and ends with a code. What it does stands elsewhere. */
+package gingerring.cli;
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/core/Fate.java
@@ -0,0 +1,38 @@
+package gingerring.emulator.core;
+
+/**
+ * What is drawn once and for all for a thing, from the seed and what names it: the same part meets the same at
+ * the same box in every run, in whatever order and at whatever pace things happen.
+ */
+public final class Fate {
+  private Fate() {}
+
+  /** From 0 up to, but not, 1. */
+  public static double draw(long seed, String what, long... more) {
+    return (bits(seed, what, more) >>> 11) * 0x1.0p-53;
+  }
+
+  /** 64 bits; the mixing is SplitMix64's (Steele, Lea and Flood 2014). */
+  public static long bits(long seed, String what, long... more) {
+    long z = seed;
+    for (int i = 0; i < what.length(); i++) {
+      z = mix(z + what.charAt(i));
+    }
+    for (long each : more) {
+      z = mix(z ^ each);
+    }
+    return mix(z);
+  }
+
+  private static long mix(long z) {
+    z += 0x9e3779b97f4a7c15L;
+    z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+    z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+    return z ^ z >>> 31;
+  }
+
+  /** What a part's answer says: of its text and folio, whichever box gives it. */
+  public static String value(long seed, String text, int folio) {
+    return String.format("%016x", bits(seed, text, folio));
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/core/Referee.java
@@ -0,0 +1,249 @@
+package gingerring.emulator.core;
+
+import gingerring.emulator.core.World.Grade;
+import gingerring.emulator.core.World.Repeats;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Judges the rules of a scan from outside: told of every request, answer, part and return as the stand-ins see
+ * them, it says where a mixer broke one. Times allow {@link #SLACK} for the way over sockets. Scans are
+ * forgotten {@link #KEPT} after their end, so that memory is bounded by the rate.
+ */
+public final class Referee {
+  public static final Duration SLACK = Duration.ofMillis(50);
+  static final Duration KEPT = Duration.ofSeconds(30);
+  private static final int SHOWN_MOST = 100;
+
+  /** The rules, and what only a mixer gone wrong does: parts that nobody asked for. */
+  public enum Rule { SCAN_LOST, EFFECT_TWICE, DRAIN, COLD_BOX, HONEST_ANSWER, TRIPS, STRANGE_PART }
+
+  /** A rule broken. */
+  public record Foul(Rule rule, Duration at, String what) {}
+
+  private static final class Scan {
+    final Grade grade;
+    final Map<Integer, Double> shares;
+    final String key;
+    final Duration until;
+    final Map<Integer, List<Trip>> trips = new HashMap<>();
+    Duration ended;
+    boolean left;
+
+    Scan(Grade grade, Map<Integer, Double> shares, String key, Duration until) {
+      this.grade = grade;
+      this.shares = shares;
+      this.key = key;
+      this.until = until;
+    }
+  }
+
+  private static final class Trip {
+    final int box;
+    final Duration at;
+    String end;
+    String value;
+
+    Trip(int box, Duration at) {
+      this.box = box;
+      this.at = at;
+    }
+
+    boolean neverRan() {
+      return "full".equals(end) || "unreached".equals(end);
+    }
+  }
+
+  private final World world;
+  private final Map<String, Scan> scans = new HashMap<>();
+  private final Map<Integer, Duration> drained = new HashMap<>();
+  private final Map<Rule, Integer> counts = new HashMap<>();
+  private final List<Foul> shown = new ArrayList<>();
+  private Duration swept = Duration.ZERO;
+  private long trips;
+  private long judged;
+
+  public Referee(World world) {
+    this.world = world;
+  }
+
+  private void foul(Rule rule, Duration at, String what) {
+    counts.merge(rule, 1, Integer::sum);
+    if (shown.size() < SHOWN_MOST) {
+      shown.add(new Foul(rule, at, what));
+    }
+  }
+
+  /** A client has sent a request whole. */
+  public void asked(String mark, String grade, Map<Integer, Double> shares, String key, Duration at,
+      Duration patience) {
+    judged++;
+    scans.put(mark, new Scan(world.grade(grade), shares, key, at.plus(patience)));
+    sweep(at);
+  }
+
+  /** A client has closed its connection before its answer. */
+  public void left(String mark, Duration at) {
+    Scan scan = scans.get(mark);
+    if (scan != null && scan.ended == null) {
+      scan.left = true;
+      scan.ended = at;
+    }
+  }
+
+  /** A client never had its answer, though it waited to the end. */
+  public void lost(String mark, Duration at) {
+    Scan scan = scans.get(mark);
+    if (scan != null && scan.ended == null) {
+      scan.ended = at;
+      foul(Rule.SCAN_LOST, at, mark + " had no answer in its client's time");
+    }
+  }
+
+  /** An answer's last byte came; {@code values} are null for one that refuses or gives up. */
+  public void answered(String mark, Duration at, boolean nacked, boolean whole, Map<Integer, String> values) {
+    Scan scan = scans.get(mark);
+    if (scan == null) {
+      foul(Rule.SCAN_LOST, at, mark + " was answered and not asked");
+      return;
+    }
+    if (scan.ended != null) {
+      if (!scan.left) {
+        foul(Rule.SCAN_LOST, at, mark + " was answered twice");
+      }
+      return;
+    }
+    scan.ended = at;
+    if (at.compareTo(scan.until.plus(SLACK)) > 0) {
+      foul(Rule.SCAN_LOST, at, mark + " was answered after its client's time");
+    }
+    if (nacked && scan.grade.repeats() == Repeats.AT_MOST_ONCE && scan.trips.values().stream()
+        .flatMap(List::stream).anyMatch(trip -> !trip.neverRan())) {
+      foul(Rule.EFFECT_TWICE, at, mark + " was nacked though a part may have run");
+    }
+    if (values != null) {
+      honest(mark, scan, at, whole, values);
+    }
+  }
+
+  private void honest(String mark, Scan scan, Duration at, boolean whole, Map<Integer, String> values) {
+    double weight = 0;
+    for (Map.Entry<Integer, String> value : values.entrySet()) {
+      Double share = scan.shares.get(value.getKey());
+      boolean given = scan.trips.getOrDefault(value.getKey(), List.of()).stream()
+          .anyMatch(trip -> value.getValue().equals(trip.value));
+      if (share == null || !given) {
+        foul(Rule.HONEST_ANSWER, at, mark + " has a value of folio " + value.getKey() + " that no box gave");
+      }
+      weight += share == null ? 0 : share;
+    }
+    double all = scan.shares.values().stream().mapToDouble(Double::doubleValue).sum();
+    if (whole && values.size() < scan.shares.size()) {
+      foul(Rule.HONEST_ANSWER, at, mark + " is marked whole with " + values.size() + " of "
+          + scan.shares.size() + " parts");
+    }
+    if (weight < scan.grade.floor() * all - 1e-6) {
+      foul(Rule.HONEST_ANSWER, at, mark + " is answered from " + weight + " of its weight, under the floor "
+          + scan.grade.floor());
+    }
+  }
+
+  /** A part has arrived at a box whole. */
+  public void part(String mark, int folio, String key, int box, Duration at) {
+    trips++;
+    Scan scan = scans.get(mark);
+    if (scan == null || !scan.shares.containsKey(folio)) {
+      foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent and not asked for");
+      return;
+    }
+    if (!world.holders(folio).contains(box)) {
+      foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent to box " + box + ", which does not hold it");
+    }
+    if (scan.key != null && scan.grade.repeats() == Repeats.NUMBERED && !scan.key.equals(key)) {
+      foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent without its key");
+    }
+    if (scan.ended != null && at.compareTo(scan.ended.plus(SLACK)) > 0) {
+      foul(Rule.SCAN_LOST, at, mark + '.' + folio + " was sent after the answer");
+    }
+    Duration since = drained.get(box);
+    if (since != null && at.compareTo(since.plus(world.drainGrace()).plus(SLACK)) > 0) {
+      foul(Rule.DRAIN, at, mark + '.' + folio + " was sent to box " + box + ", told as drained at "
+          + since.toMillis() + " ms");
+    }
+    List<Trip> before = scan.trips.computeIfAbsent(folio, f -> new ArrayList<>());
+    if (before.size() >= world.trips()) {
+      foul(Rule.TRIPS, at, mark + '.' + folio + " was sent " + (before.size() + 1) + " times");
+    }
+    for (Trip trip : before) {
+      if (!trip.neverRan() && scan.grade.repeats() == Repeats.AT_MOST_ONCE) {
+        foul(Rule.EFFECT_TWICE, at, mark + '.' + folio + " was sent again though it may have run");
+        break;
+      }
+      if (!trip.neverRan() && scan.grade.repeats() == Repeats.NUMBERED
+          && at.minus(trip.at).compareTo(scan.grade.window().plus(SLACK)) > 0) {
+        foul(Rule.EFFECT_TWICE, at, mark + '.' + folio + " was sent again after its mark was forgotten");
+        break;
+      }
+    }
+    before.add(new Trip(box, at));
+  }
+
+  /** What a box said of a part: its latest there that had no end. */
+  public void returned(String mark, int folio, int box, String end, String value) {
+    Scan scan = scans.get(mark);
+    if (scan != null) {
+      List<Trip> mine = scan.trips.getOrDefault(folio, List.of());
+      for (int i = mine.size() - 1; i >= 0; i--) {
+        Trip trip = mine.get(i);
+        if (trip.box == box && trip.end == null) {
+          trip.end = end;
+          trip.value = value;
+          return;
+        }
+      }
+    }
+  }
+
+  /** A mixer was told that a box drains or is gone, or (null) that it serves. */
+  public void told(int box, Duration since) {
+    if (since == null) {
+      drained.remove(box);
+    } else {
+      drained.putIfAbsent(box, since);
+    }
+  }
+
+  public void fell(int box, Duration at) {
+    foul(Rule.COLD_BOX, at, "box " + box + " was pushed over while cold");
+  }
+
+  private void sweep(Duration now) {
+    if (now.minus(swept).compareTo(KEPT) > 0) {
+      swept = now;
+      scans.values().removeIf(scan -> scan.ended != null && now.minus(scan.ended).compareTo(KEPT) > 0);
+    }
+  }
+
+  public int fouls() {
+    return counts.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  public Map<Rule, Integer> counts() {
+    return counts;
+  }
+
+  public List<Foul> shown() {
+    return shown;
+  }
+
+  public long trips() {
+    return trips;
+  }
+
+  public long judged() {
+    return judged;
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/core/Script.java
@@ -0,0 +1,77 @@
+package gingerring.emulator.core;
+
+import gingerring.emulator.core.World.Grade;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** What clients ask, drawn from the seed: when, of which grade, which folios with which weights. */
+public final class Script {
+  /** A wish of a client; its tries share text and key. */
+  public record Wish(int number, Duration at, Grade grade, Map<Integer, Double> shares, String key, String text) {
+    /** The body of its request, with a rough guess at each part's work. */
+    public byte[] body(World world) {
+      StringBuilder json = new StringBuilder("{\"targets\":[");
+      String between = "";
+      for (Map.Entry<Integer, Double> share : shares.entrySet()) {
+        double guess = grade.work().at(0.5) * (0.7 + 0.6 * Fate.draw(world.seed(), text, share.getKey(), 7));
+        json.append(between).append("{\"partition\":").append(share.getKey()).append(",\"share\":")
+            .append(share.getValue()).append(",\"est_us\":").append((long) (guess * 1000)).append('}');
+        between = ",";
+      }
+      return json.append("],\"query\":\"").append(text).append("\"}").toString().getBytes();
+    }
+  }
+
+  private Script() {}
+
+  /** All wishes of a run, in the order of their times: a Poisson stream. */
+  public static List<Wish> of(World world) {
+    SplittableRandom random = new SplittableRandom(world.seed());
+    List<Wish> wishes = new ArrayList<>();
+    double total = world.grades().stream().mapToDouble(Grade::share).sum();
+    double at = 0;
+    while (true) {
+      at += -Math.log(1 - random.nextDouble()) / world.rate();
+      if (at > world.length().toNanos() / 1e9) {
+        return wishes;
+      }
+      double pick = random.nextDouble() * total;
+      Grade grade = world.grades().get(world.grades().size() - 1);
+      for (Grade each : world.grades()) {
+        if (pick < each.share()) {
+          grade = each;
+          break;
+        }
+        pick -= each.share();
+      }
+      int number = wishes.size();
+      String text = grade.name() + ':' + String.format("%08x", (int) Fate.bits(world.seed(), "text", number));
+      String key = String.format("%016x", Fate.bits(world.seed(), "key", number));
+      wishes.add(new Wish(number, Duration.ofNanos((long) (at * 1e9)), grade, shares(world, grade, random), key,
+          text));
+    }
+  }
+
+  private static Map<Integer, Double> shares(World world, Grade grade, SplittableRandom random) {
+    int count = Math.max(1, (int) Math.round(grade.folios() * world.folios()));
+    int first = random.nextInt(world.folios());
+    double[] weights = new double[count];
+    double sum = 0;
+    for (int i = 0; i < count; i++) {
+      weights[i] = grade.skewed() ? 1 / (1.0 + random.nextInt(count)) : 1 + 0.1 * random.nextDouble();
+      sum += weights[i];
+    }
+    Map<Integer, Double> shares = new LinkedHashMap<>();
+    double left = 1;
+    for (int i = 0; i < count; i++) {
+      double share = i == count - 1 ? left : Math.round(weights[i] / sum * 1e6) / 1e6;
+      left -= share;
+      shares.put((first + i) % world.folios(), Math.round(Math.max(share, 1e-6) * 1e6) / 1e6);
+    }
+    return shares;
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/run/Charts.java
@@ -0,0 +1,44 @@
+package gingerring.emulator.run;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+
+/** Lines over seconds, as PNG files. */
+public final class Charts {
+  private static final int WIDTH = 960;
+  private static final int HEIGHT = 420;
+
+  private Charts() {}
+
+  /** Each series by second; all are of emulated boxes, which the title says. */
+  public static void lines(Path file, String title, String what, Map<String, Map<Integer, Double>> series)
+      throws IOException {
+    System.setProperty("java.awt.headless", "true");
+    XYSeriesCollection all = new XYSeriesCollection();
+    series.forEach((name, points) -> {
+      XYSeries line = new XYSeries(name);
+      points.forEach(line::add);
+      all.addSeries(line);
+    });
+    JFreeChart chart = ChartFactory.createXYLineChart(title + " (emulated boxes)", "second", what, all);
+    if (file.toAbsolutePath().getParent() != null) {
+      Files.createDirectories(file.toAbsolutePath().getParent());
+    }
+    ChartUtils.saveChartAsPNG(file.toFile(), chart, WIDTH, HEIGHT);
+  }
+
+  /** Service by second of a run. */
+  public static Map<Integer, Double> service(Run.Result result) {
+    Map<Integer, Double> points = new TreeMap<>();
+    result.tally().seconds.forEach((second, its) -> points.put(second, its[0] == 0 ? 1 : its[1] / its[0]));
+    return points;
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/run/Clients.java
@@ -0,0 +1,218 @@
+package gingerring.emulator.run;
+
+import gingerring.emulator.core.Referee;
+import gingerring.emulator.core.Script.Wish;
+import gingerring.emulator.core.World;
+import gingerring.http.Head;
+import gingerring.http.HttpParser;
+import gingerring.http.Malformed;
+import gingerring.net.ByteRing;
+import gingerring.traffic.replay.Retries;
+import gingerring.traffic.scan.Answer;
+import gingerring.traffic.scan.Seen.Fate;
+import gingerring.traffic.wire.Reactor;
+import gingerring.traffic.wire.Wire;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * The clients of a run: each wish is asked at its time on an idle connection, or a new one while there are
+ * fewer than the world's number, else as soon as one is idle. A wish that was not answered is tried again.
+ */
+final class Clients {
+  private final World world;
+  private final Reactor reactor;
+  private final Referee referee;
+  private final InetSocketAddress mixer;
+  private final double pace;
+  private final Tally tally;
+  private final Retries retries;
+  private final Deque<Client> idle = new ArrayDeque<>();
+  private final Deque<Try> waiting = new ArrayDeque<>();
+  private final Runnable over;
+  private int clients;
+  private int open;
+  private int marks;
+
+  /** One try of a wish. {@code first} is when its wish was first asked. */
+  private record Try(Wish wish, int number, Duration first) {}
+
+  Clients(World world, Reactor reactor, Referee referee, InetSocketAddress mixer, double pace, Tally tally,
+      Runnable over) {
+    this.world = world;
+    this.reactor = reactor;
+    this.referee = referee;
+    this.mixer = mixer;
+    this.pace = pace;
+    this.tally = tally;
+    this.over = over;
+    retries = new Retries(new Retries.Rule(world.retries(), Duration.ofMillis(200), 2, 0.5),
+        new SplittableRandom(world.seed() + 1));
+  }
+
+  void begin(List<Wish> wishes) {
+    open = wishes.size();
+    if (open == 0) {
+      over.run();
+    }
+    for (Wish wish : wishes) {
+      reactor.after(Duration.ofNanos((long) (wish.at().toNanos() / pace)),
+          () -> ask(new Try(wish, 0, reactor.now())));
+    }
+  }
+
+  private void ask(Try next) {
+    Client client = null;
+    while (client == null && !idle.isEmpty()) {
+      client = idle.pollFirst();
+      client = client.wire.open() ? client : null;
+    }
+    if (client == null && clients < world.clients()) {
+      client = new Client();
+    }
+    if (client == null) {
+      tally.waited++;
+      waiting.add(next);
+    } else {
+      client.ask(next);
+    }
+  }
+
+  private void ended(Try which, Answer answer) {
+    Duration took = reactor.now().minus(which.first);
+    Optional<Duration> again = answer.fate() == Fate.WHOLE || answer.fate() == Fate.PART ? Optional.empty()
+        : retries.next(which.number, answer.comeBack());
+    tally.ended(which.wish, answer, took, reactor.now());
+    if (again.isPresent() && took.plus(again.get()).compareTo(which.wish.grade().patience()) < 0) {
+      tally.retries++;
+      reactor.after(again.get(), () -> ask(new Try(which.wish, which.number + 1, which.first)));
+    } else {
+      tally.met(which.wish, answer, took);
+      if (--open == 0) {
+        over.run();
+      }
+    }
+    Try next = waiting.poll();
+    if (next != null) {
+      ask(next);
+    }
+  }
+
+  /** One connection, a request at a time. */
+  private final class Client implements Wire.Owner, HttpParser.Sink {
+    private static final int PIECE = 1 << 13;
+
+    private final Wire wire;
+    private final ByteRing ring = new ByteRing(PIECE, 2 * PIECE);
+    private final HttpParser parser = new HttpParser(false, 1 << 20, this);
+    private Head head;
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Try now;
+    private String mark;
+    private boolean gone;
+
+    Client() {
+      clients++;
+      wire = reactor.dial(mixer, this);
+    }
+
+    void ask(Try next) {
+      now = next;
+      String mine = String.format("%08x", marks++) + '-' + next.number;
+      mark = mine;
+      World.Grade grade = next.wish.grade();
+      byte[] json = next.wish.body(world);
+      String text = "POST /api HTTP/1.1\r\nHost: mixer\r\nX-Txn: " + mark + "\r\nX-Lane: " + grade.name()
+          + "\r\nX-Remaining-Ms: " + grade.patience().toMillis() + (next.number > 0 ? "\r\nX-Resent: 1" : "")
+          + (grade.repeats() == World.Repeats.NUMBERED ? "\r\nIdempotency-Key: " + next.wish.key() : "")
+          + "\r\nContent-Length: " + json.length + "\r\n\r\n";
+      wire.put(text.getBytes(StandardCharsets.US_ASCII));
+      wire.put(json);
+      tally.asked++;
+      referee.asked(mark, grade.name(), next.wish.shares(),
+          grade.repeats() == World.Repeats.NUMBERED ? next.wish.key() : null, reactor.now(), grade.patience());
+      reactor.after(grade.patience().plus(Referee.SLACK), () -> {
+        if (mine.equals(mark) && now != null) {
+          referee.lost(mark, reactor.now());
+          wire.reset();
+        }
+      });
+    }
+
+    @Override public void bytes(byte[] bytes, int length) {
+      try {
+        for (int at = 0; at < length && !wire.closed();) {
+          int count = Math.min(length - at, PIECE);
+          ring.put(bytes, at, count);
+          at += count;
+          while (ring.size() > 0 && parser.read(ring)) {
+            // one message at a time
+          }
+        }
+      } catch (Malformed e) {
+        wire.reset();
+      }
+    }
+
+    @Override public void head(Head read) {
+      head = read;
+    }
+
+    @Override public void body(byte[] bytes, int length) {
+      body.write(bytes, 0, length);
+    }
+
+    @Override public void end() {
+      Head whole = head;
+      byte[] json = body.toByteArray();
+      head = null;
+      body = new ByteArrayOutputStream();
+      Try ended = now;
+      if (ended == null) {
+        return;
+      }
+      now = null;
+      Answer answer = Answer.read(whole, json);
+      boolean served = answer.fate() == Fate.WHOLE || answer.fate() == Fate.PART;
+      referee.answered(mark, reactor.now(), answer.fate() == Fate.NACKED, answer.whole(),
+          served ? answer.values() : null);
+      if (whole.says("connection", "close")) {
+        leave();
+        wire.close();
+      } else {
+        idle.addFirst(this);
+      }
+      ended(ended, answer);
+    }
+
+    private void leave() {
+      if (!gone) {
+        gone = true;
+        clients--;
+        idle.remove(this);
+      }
+    }
+
+    @Override public void closed() {
+      leave();
+      if (now != null) {
+        Try ended = now;
+        now = null;
+        referee.left(mark, reactor.now());
+        ended(ended, new Answer(Fate.LEFT, 0, false, Map.of(), Duration.ZERO, "its connection ended"));
+      }
+    }
+
+    private void ended(Try which, Answer answer) {
+      Clients.this.ended(which, answer);
+    }
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/run/MixerProcess.java
@@ -0,0 +1,186 @@
+package gingerring.emulator.run;
+
+import gingerring.emulator.core.World;
+import gingerring.emulator.core.World.Grade;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/** A real mixer as a child of this process, from the same class path, configured for a world. */
+public final class MixerProcess implements AutoCloseable {
+  private static final Pattern LISTENS = Pattern.compile("listens at [^ ]*:([0-9]+),");
+  private static final long START_MS = 20_000;
+  private static final long END_MS = 5_000;
+  private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+      "-XX:-UsePerfData", "-Xms24m", "-Xmx64m", "-Xss512k");
+
+  private final Process process;
+  private final BlockingQueue<String> lines = new LinkedBlockingQueue<>(10_000);
+  private final List<String> last = new ArrayList<>();
+  private final Path config;
+  private InetSocketAddress address;
+
+  private MixerProcess(Process process, Path config) {
+    this.process = process;
+    this.config = config;
+    Thread reader = new Thread(() -> {
+      try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+        for (String line = out.readLine(); line != null; line = out.readLine()) {
+          lines.offer(line);
+        }
+      } catch (IOException e) {
+        lines.offer("the mixer's output ended: " + e.getMessage());
+      }
+    }, "mixer-log");
+    reader.setDaemon(true);
+    reader.start();
+  }
+
+  /** Starts one; {@code known} is the list it begins with, {@code record} a file to record to, or null. */
+  public static MixerProcess start(World world, InetSocketAddress discovery, String known, Path record)
+      throws IOException {
+    Path config = Files.createTempFile("gingerring-mixer", ".json");
+    Files.writeString(config, config(world, discovery, known));
+    List<String> command = new ArrayList<>(List.of(
+        Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+    command.addAll(FLAGS);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+    command.addAll(record == null ? List.of("gingerring.Main", "serve")
+        : List.of("gingerring.cli.Gingerring", "serve", "--record", record.toString()));
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().put("LB_CONFIG", config.toString());
+    MixerProcess mixer = new MixerProcess(builder.start(), config);
+    try {
+      mixer.awaitStart();
+      return mixer;
+    } catch (IOException e) {
+      mixer.close();
+      throw e;
+    }
+  }
+
+  private void awaitStart() throws IOException {
+    long until = System.currentTimeMillis() + START_MS;
+    try {
+      while (System.currentTimeMillis() < until) {
+        String line = lines.poll(100, TimeUnit.MILLISECONDS);
+        if (line != null) {
+          last.add(line);
+          Matcher listens = LISTENS.matcher(line);
+          if (listens.find()) {
+            address = Store.loopback(Integer.parseInt(listens.group(1)));
+            return;
+          }
+        } else if (!process.isAlive()) {
+          break;
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    throw new IOException("the mixer did not start: " + String.join(" | ", last));
+  }
+
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  public long pid() {
+    return process.pid();
+  }
+
+  /** CPU time used so far, in seconds; NaN where the system does not tell. */
+  public double cpuSeconds() {
+    return process.info().totalCpuDuration().map(cpu -> cpu.toNanos() / 1e9).orElse(Double.NaN);
+  }
+
+  /** What it has logged and was not read yet. */
+  public List<String> log() {
+    List<String> log = new ArrayList<>();
+    lines.drainTo(log);
+    return log;
+  }
+
+  /** Ends it by the usual signal, and for good where it does not go; returns its exit code. */
+  public int end() {
+    process.destroy();
+    try {
+      if (!process.waitFor(END_MS + 5000, TimeUnit.MILLISECONDS)) {
+        process.destroyForcibly().waitFor(END_MS, TimeUnit.MILLISECONDS);
+      }
+      return process.isAlive() ? -1 : process.exitValue();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return -1;
+    }
+  }
+
+  @Override public void close() {
+    process.destroyForcibly();
+    try {
+      Files.deleteIfExists(config);
+    } catch (IOException e) {
+      config.toFile().deleteOnExit();
+    }
+  }
+
+  /** The configuration of a mixer before this world's store, in the deployment's form. */
+  static String config(World world, InetSocketAddress discovery, String known) {
+    String grades = world.grades().stream().map(MixerProcess::grade).collect(Collectors.joining(",\n      "));
+    return String.format(Locale.ROOT, """
+        {"name": "emulated", "listen": "127.0.0.1:0", "discovery": "%s:%d", "seed": "%016x",
+         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 8192}, "known": %s,
+         "settings": {
+          "Classes": [%s],
+          "Discovery": "automatic",
+          "Domain": {"Batch": 4, "ClassFetch": [%s], "ClassFloor": [%s], "ClassPartial": [%s],
+           "NeedByClass": [%s], "Places": %d, "Reach": %d, "Slices": %d},
+          "FleetSize": 1, "LoadReport": {"Columns": ["depth", "concurrent"], "Source": "answers"}, "Me": 0,
+          "PolicyLimits": {"Cancel": true, "ConnIdleMs": 30000.0, "DialTimeoutMs": 250.0, "MaxAttempts": %d,
+           "MaxRetryAfterMs": 2000.0, "MostHeld": 4000, "Probing": true, "RetryAfter": true,
+           "SecondCopies": true, "StreamsPerConn": 32},
+          "Safety": {"ColdFrom": %f, "DrainGraceMs": %f, "GraceToAnswerMs": 20.0, "TipAfterMs": %f,
+           "TipMultiple": %f, "WarmUpMs": %f},
+          "Skus": ["emulated"], "Zone": 0, "Zones": ["a"]}}
+        """, discovery.getAddress().getHostAddress(), discovery.getPort(), world.seed(), known, grades,
+        list(world, grade -> "0"), list(world, grade -> String.valueOf(grade.floor())),
+        list(world, grade -> "0.95"), list(world, grade -> "1.0"), world.boxes(), world.copies(),
+        world.folios(), world.trips(), world.coldFrom(), millis(world.drainGrace()), millis(world.tipAfter()),
+        world.tipMultiple(), millis(world.warmUp()));
+  }
+
+  private static String list(World world, Function<Grade, String> value) {
+    return world.grades().stream().map(value).collect(Collectors.joining(", "));
+  }
+
+  private static String grade(Grade grade) {
+    String repeats = switch (grade.repeats()) {
+      case REISSUABLE -> "idempotent";
+      case NUMBERED -> "deduplicated";
+      case AT_MOST_ONCE -> "at_most_once";
+    };
+    return String.format(Locale.ROOT, "{\"Name\": \"%s\", \"AimMs\": %f, \"HardLimitMs\": %f, "
+        + "\"Idempotency\": \"%s\", \"LateWorth\": %f, \"WindowMs\": %f, \"Worth\": %f}", grade.name(),
+        millis(grade.quoted()), millis(grade.patience()), repeats, grade.late(), millis(grade.window()),
+        grade.earnings());
+  }
+
+  private static double millis(Duration span) {
+    return span.toNanos() / 1e6;
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/run/Run.java
@@ -0,0 +1,78 @@
+package gingerring.emulator.run;
+
+import gingerring.emulator.core.Referee;
+import gingerring.emulator.core.Script;
+import gingerring.emulator.core.World;
+import gingerring.traffic.wire.Reactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** One run: a world's store, a router before it, its clients; and what came of it. */
+public final class Run {
+  /** Which router stands before the store. */
+  public enum Router { MIXER, RANDOM }
+
+  /** What came of a run; {@code load} by box: parts done, and milliseconds of work. */
+  public record Result(Router router, Tally tally, Referee referee, Map<Integer, double[]> load, Duration took,
+      double mixerCpu, int exitCode, int failures) {}
+
+  private static final Duration SETTLE = Duration.ofMillis(300);
+  private static final Duration SPARE = Duration.ofSeconds(60);
+
+  private Run() {}
+
+  /** Runs until every wish has had its end; {@code record} names a capture file for the mixer, or is null. */
+  public static Result of(World world, Router router, double pace, Path record) throws IOException {
+    Reactor reactor = new Reactor();
+    Referee referee = new Referee(world);
+    Store store = new Store(world, reactor, referee, pace);
+    Tally tally = new Tally();
+    Thread thread = new Thread(reactor::run, "emulator");
+    thread.setDaemon(true);
+    MixerProcess mixer = null;
+    try {
+      InetSocketAddress address;
+      if (router == Router.MIXER) {
+        thread.start();
+        mixer = MixerProcess.start(world, store.discovery(), store.list(), record);
+        address = mixer.address();
+      } else {
+        address = new RandomRouter(world, reactor, store.list()).address();
+        thread.start();
+      }
+      CountDownLatch over = new CountDownLatch(1);
+      AtomicReference<Duration> took = new AtomicReference<>(Duration.ZERO);
+      reactor.post(() -> {
+        Duration start = reactor.now().plus(SETTLE);
+        reactor.after(SETTLE, () -> {
+          store.begin();
+          new Clients(world, reactor, referee, address, pace, tally, () -> {
+            took.set(reactor.now().minus(start));
+            over.countDown();
+          }).begin(Script.of(world));
+        });
+      });
+      long most = (long) (world.length().toMillis() / pace) + SPARE.toMillis();
+      if (!over.await(most, TimeUnit.MILLISECONDS)) {
+        throw new IOException("the run did not end within " + most + " ms");
+      }
+      double cpu = mixer == null ? Double.NaN : mixer.cpuSeconds();
+      int code = mixer == null ? 0 : mixer.end();
+      return new Result(router, tally, referee, store.load(), took.get(), cpu, code, reactor.failures());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    } finally {
+      if (mixer != null) {
+        mixer.close();
+      }
+      reactor.stop();
+    }
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/run/Store.java
@@ -0,0 +1,421 @@
+package gingerring.emulator.run;
+
+import gingerring.emulator.core.Box;
+import gingerring.emulator.core.Fate;
+import gingerring.emulator.core.Referee;
+import gingerring.emulator.core.World;
+import gingerring.emulator.core.World.Trouble;
+import gingerring.traffic.wire.Reactor;
+import gingerring.traffic.wire.Wire;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The boxes of a world and the discovery that lists them, on ephemeral ports of 127.0.0.1, in one reactor.
+ * {@code pace} makes the world's own times (troubles, warm-up, the list's lag) run faster; work does not.
+ */
+public final class Store implements Box.Host {
+  private static final int FRAME_MOST = (1 << 16) + 1024;
+  private static final Duration STILL_HERE = Duration.ofSeconds(2);
+  private static final Duration DRAIN_TAKES = Duration.ofSeconds(3);
+  private static final int KEYS_MOST = 1 << 17;
+
+  /** A box's sockets. */
+  private final class Seat {
+    final Box box;
+    Reactor.Listening listening;
+    String phase = "SERVING";
+    long upSinceMs;
+    /** How often it was replaced: a successor goes by another name. */
+    int successor;
+    final Set<Line> lines = new LinkedHashSet<>();
+    boolean silent;
+
+    Seat(Box box) {
+      this.box = box;
+    }
+
+    String id() {
+      return "box-" + box.number + (successor == 0 ? "" : "-" + successor);
+    }
+
+    String member(String as) {
+      return "{\"id\":\"" + id() + "\",\"host_port\":\"127.0.0.1:" + listening.address().getPort()
+          + "\",\"locality\":\"a\",\"flavor\":\"emulated\",\"cell\":" + box.number + ",\"phase\":\"" + as
+          + "\",\"size\":1.0,\"up_since_ms\":" + upSinceMs + "}";
+    }
+  }
+
+  private final World world;
+  private final Reactor reactor;
+  private final Referee referee;
+  private final double pace;
+  private final List<Seat> seats = new ArrayList<>();
+  private final Set<Discovery> watches = new LinkedHashSet<>();
+  private final Map<String, Duration> marks = new HashMap<>();
+  private Duration zero = Duration.ZERO;
+  private Reactor.Listening discovery;
+  private int revision = 1;
+  private long broken;
+
+  /** Starts at once; {@code referee} is told of all that the boxes see. */
+  public Store(World world, Reactor reactor, Referee referee, double pace) throws IOException {
+    this.world = world;
+    this.reactor = reactor;
+    this.referee = referee;
+    this.pace = pace;
+    for (int i = 0; i < world.boxes(); i++) {
+      Seat seat = new Seat(new Box(world, i, this));
+      seats.add(seat);
+      seat.box.start(false);
+      open(seat);
+    }
+    discovery = reactor.listen(loopback(0), Discovery::new);
+    stillHere();
+  }
+
+  static InetSocketAddress loopback(int port) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
+  public InetSocketAddress discovery() {
+    return discovery.address();
+  }
+
+  /** The list as it is now, in discovery's form. */
+  public String list() {
+    List<String> members = new ArrayList<>();
+    for (Seat seat : seats) {
+      if (!seat.phase.equals("DELETED")) {
+        members.add(seat.member(seat.phase));
+      }
+    }
+    return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
+  }
+
+  /** The run begins now: troubles come at their times from here on. */
+  public void begin() {
+    zero = reactor.now();
+    for (Trouble trouble : world.troubles()) {
+      for (int number : world.struck(trouble)) {
+        Seat seat = seats.get(number);
+        at(trouble.at(), () -> strike(trouble, seat));
+        at(trouble.at().plus(trouble.span()), () -> relieve(trouble, seat));
+      }
+    }
+  }
+
+  private void at(Duration worldTime, Runnable task) {
+    Duration wait = scaled(worldTime).minus(reactor.now().minus(zero));
+    reactor.after(wait.isNegative() ? Duration.ZERO : wait, task);
+  }
+
+  private Duration scaled(Duration worldTime) {
+    return Duration.ofNanos((long) (worldTime.toNanos() / pace));
+  }
+
+  // ---- Box.Host ----
+
+  @Override public Duration now() {
+    return Duration.ofNanos((long) (reactor.now().minus(zero).toNanos() * pace));
+  }
+
+  @Override public void after(Duration span, Runnable task) {
+    reactor.after(span, task);
+  }
+
+  @Override public void answer(Box.Part part, String end) {
+    ((Line) part.link()).answer(part, end);
+  }
+
+  @Override public boolean runs(Box.Part part) {
+    World.Grade grade = world.grade(part.text().replaceAll(":.*", ""));
+    if (part.key() == null || grade == null || grade.repeats() != World.Repeats.NUMBERED) {
+      return true;
+    }
+    Duration now = reactor.now();
+    if (marks.size() > KEYS_MOST) {
+      marks.values().removeIf(at -> now.minus(at).compareTo(grade.window()) > 0);
+    }
+    Duration before = marks.putIfAbsent(part.key() + '.' + part.folio(), now);
+    if (before != null && now.minus(before).compareTo(grade.window()) > 0) {
+      marks.put(part.key() + '.' + part.folio(), now);
+      return true;
+    }
+    return before == null;
+  }
+
+  @Override public void fell(Box box) {
+    referee.fell(box.number, reactor.now());
+    crash(seats.get(box.number));
+  }
+
+  // ---- troubles ----
+
+  private void strike(Trouble trouble, Seat seat) {
+    switch (trouble.kind()) {
+      case CRASH -> {
+        seat.box.stop();
+        crash(seat);
+        told(seat, "DELETED");
+      }
+      case VANISH -> {
+        seat.box.stop();
+        seat.silent = true;
+        seat.lines.forEach(line -> line.wire.deaf(true));
+        told(seat, "DELETED");
+      }
+      case DRAIN -> {
+        seat.box.drain();
+        told(seat, "DRAINING");
+        reactor.after(scaled(DRAIN_TAKES), () -> {
+          seat.box.stop();
+          crash(seat);
+          told(seat, "DELETED");
+        });
+      }
+      case BREAK -> breakSome(trouble, seat);
+      default -> { } // the box looks for itself
+    }
+  }
+
+  private void breakSome(Trouble trouble, Seat seat) {
+    if (trouble.active(now())) {
+      for (Line line : List.copyOf(seat.lines)) {
+        if (Fate.draw(world.seed(), "break", seat.box.number, broken++) < trouble.size()) {
+          line.wire.reset();
+        }
+      }
+      reactor.after(scaled(Duration.ofSeconds(1)), () -> breakSome(trouble, seat));
+    }
+  }
+
+  private void relieve(Trouble trouble, Seat seat) {
+    switch (trouble.kind()) {
+      case CRASH, VANISH, DRAIN -> {
+        crash(seat);
+        if (!seat.box.fallen()) {
+          seat.silent = false;
+          seat.upSinceMs = System.currentTimeMillis();
+          seat.box.start(true);
+          if (trouble.kind() == Trouble.Kind.DRAIN) {
+            seat.successor++;
+          }
+          try {
+            open(seat);
+            told(seat, "SERVING");
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        }
+      }
+      default -> { }
+    }
+  }
+
+  private void open(Seat seat) throws IOException {
+    seat.listening = reactor.listen(loopback(0), wire -> new Line(seat, wire));
+  }
+
+  private void crash(Seat seat) {
+    seat.listening.close();
+    List.copyOf(seat.lines).forEach(line -> line.wire.reset());
+  }
+
+  /** The list learns of it after its lag, and tells all watches. */
+  private void told(Seat seat, String phase) {
+    String before = seat.member(phase);
+    double lag = world.troubles().stream().filter(trouble -> trouble.kind() == Trouble.Kind.STALE
+        && trouble.active(now())).mapToDouble(Trouble::size).max().orElse(0);
+    Duration wait = scaled(world.listLag()).multipliedBy((long) (1 + lag));
+    reactor.after(wait, () -> {
+      seat.phase = phase;
+      revision++;
+      String change = "{\"revision\":" + revision + ",\"complete\":false,\"members\":[" + before + "]}";
+      referee.told(seat.box.number, phase.equals("SERVING") ? null : reactor.now());
+      watches.forEach(watch -> watch.line(change));
+    });
+  }
+
+  private void stillHere() {
+    reactor.after(STILL_HERE, () -> {
+      watches.forEach(watch -> watch.line(""));
+      stillHere();
+    });
+  }
+
+  // ---- figures ----
+
+  /** Parts done and milliseconds of work, by box. */
+  public Map<Integer, double[]> load() {
+    Map<Integer, double[]> load = new TreeMap<>();
+    seats.forEach(seat -> load.put(seat.box.number, new double[] {seat.box.done(), seat.box.worked()}));
+    return load;
+  }
+
+  // ---- a connection to a box ----
+
+  private final class Line implements Wire.Owner {
+    private final Seat seat;
+    private final Wire wire;
+    private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+
+    Line(Seat seat, Wire wire) {
+      this.seat = seat;
+      this.wire = wire;
+      seat.lines.add(this);
+      if (seat.silent) {
+        wire.deaf(true);
+      }
+    }
+
+    @Override public void bytes(byte[] bytes, int length) {
+      kept.write(bytes, 0, length);
+      ByteBuffer all = ByteBuffer.wrap(kept.toByteArray()).order(ByteOrder.LITTLE_ENDIAN);
+      while (all.remaining() >= 4) {
+        int size = all.getInt(all.position());
+        if (size < 1 || size > FRAME_MOST) {
+          put("Fa frame of " + size + " bytes");
+          wire.close();
+          return;
+        }
+        if (all.remaining() < 4 + size) {
+          break;
+        }
+        byte[] frame = new byte[size];
+        all.position(all.position() + 4);
+        all.get(frame);
+        frame(frame);
+      }
+      kept.reset();
+      kept.write(all.array(), all.position(), all.remaining());
+    }
+
+    private void frame(byte[] frame) {
+      switch (frame[0]) {
+        case 'S' -> call(frame);
+        case 'C' -> seat.box.cancel(new String(frame, 1, frame.length - 1, StandardCharsets.US_ASCII));
+        case 'H' -> {
+          if (seat.box.active(Trouble.Kind.HANG) == null) {
+            put("Hdone");
+          }
+        }
+        case 'M' -> put("M" + report());
+        default -> {
+          put("Funknown letter");
+          wire.close();
+        }
+      }
+    }
+
+    private void call(byte[] frame) {
+      for (int at = 1; at < frame.length;) {
+        int end = at;
+        while (end < frame.length && frame[end] != '\n') {
+          end++;
+        }
+        String[] words = new String(frame, at, end - at, StandardCharsets.US_ASCII).split(" ");
+        if (end == frame.length || words.length != 4) {
+          put("Fno part's line");
+          wire.close();
+          return;
+        }
+        int length = Integer.parseInt(words[3]);
+        String text = new String(frame, end + 1, length, StandardCharsets.UTF_8);
+        at = end + 1 + length;
+        String key = null;
+        for (String pair : words[2].split(",")) {
+          key = pair.startsWith("k=") ? pair.substring(2) : key;
+        }
+        int folio = Integer.parseInt(words[1]);
+        referee.part(mark(words[0]), folio, key, seat.box.number, reactor.now());
+        seat.box.part(new Box.Part(this, words[0], folio, key, text));
+      }
+    }
+
+    private String mark(String id) {
+      return id.substring(0, id.lastIndexOf('.'));
+    }
+
+    private String report() {
+      return "queue=" + seat.box.queued() + ",inflight=" + seat.box.inHand();
+    }
+
+    void answer(Box.Part part, String end) {
+      if (wire.closed() || seat.silent) {
+        return;
+      }
+      String value = Fate.value(world.seed(), part.text(), part.folio());
+      boolean done = end.equals("done");
+      referee.returned(mark(part.id()), part.folio(), seat.box.number, end, done ? value : null);
+      if (end.equals("spoilt")) {
+        put("R" + part.id() + " strange 0 -\nspoilt");
+      } else {
+        put("R" + part.id() + ' ' + end + ' ' + (done ? Fate.bits(0, value) >>> 33 : 0) + ' ' + report() + '\n'
+            + (done ? value : ""));
+      }
+    }
+
+    private void put(String frame) {
+      byte[] bytes = frame.getBytes(StandardCharsets.UTF_8);
+      wire.put(ByteBuffer.allocate(4 + bytes.length).order(ByteOrder.LITTLE_ENDIAN).putInt(bytes.length)
+          .put(bytes).array());
+    }
+
+    @Override public void closed() {
+      seat.lines.remove(this);
+    }
+  }
+
+  // ---- discovery ----
+
+  private final class Discovery implements Wire.Owner {
+    private final Wire wire;
+    private final StringBuilder request = new StringBuilder();
+
+    Discovery(Wire wire) {
+      this.wire = wire;
+    }
+
+    @Override public void bytes(byte[] bytes, int length) {
+      request.append(new String(bytes, 0, length, StandardCharsets.ISO_8859_1));
+      if (request.indexOf("\r\n\r\n") < 0) {
+        return;
+      }
+      boolean stream = request.indexOf("stream=1") >= 0;
+      request.setLength(0);
+      if (stream) {
+        wire.put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        watches.add(this);
+        line(list());
+      } else {
+        String list = list();
+        wire.put(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+            .getBytes(StandardCharsets.US_ASCII));
+      }
+    }
+
+    void line(String text) {
+      wire.put((Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n")
+          .getBytes(StandardCharsets.US_ASCII));
+    }
+
+    @Override public void closed() {
+      watches.remove(this);
+    }
+  }
+}
--- a/mixer/src/main/java/gingerring/http/HttpParser.java
+++ b/mixer/src/main/java/gingerring/http/HttpParser.java
@@ -167,7 +167,9 @@
       at = At.BODY;
     } else {
       left = 0;
-      at = requests ? At.BODY : At.TO_END;
+      // 1xx, 204 and 304 have no body (RFC 9112 6.3)
+      boolean bare = requests || words[1].startsWith("1") || words[1].equals("204") || words[1].equals("304");
+      at = bare ? At.BODY : At.TO_END;
     }
     sink.head(head);
     return at == At.BODY && left == 0;
--- a/mixer/src/main/java/gingerring/net/Connection.java
+++ b/mixer/src/main/java/gingerring/net/Connection.java
@@ -1,5 +1,6 @@
 package gingerring.net;
 
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -24,6 +25,8 @@
   private ConnectFuture dialled;
   private volatile IoSession session;
   private boolean opened;
+  /** This side, as a tap counts them. */
+  private int mine;
   /** How many bytes MINA has in hand; 0 where it has none. */
   private int writing;
   private boolean closing;
@@ -84,6 +87,9 @@
   void received(IoBuffer buffer) {
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
+    if (network.tap != null) {
+      network.tap.data(session.getId(), 1 - mine, bytes);
+    }
     if (in.size() == 0) {
       heard = network.inbox.clock();
     }
@@ -105,8 +111,15 @@
     }
   }
 
-  void up(IoSession session) {
+  /** {@code came}: the other side opened it. */
+  void up(IoSession session, boolean came) {
     this.session = session;
+    if (network.tap != null) {
+      mine = came ? 1 : 0;
+      InetSocketAddress here = (InetSocketAddress) session.getLocalAddress();
+      InetSocketAddress there = (InetSocketAddress) session.getRemoteAddress();
+      network.tap.opened(session.getId(), came ? there : here, came ? here : there);
+    }
   }
 
   void sent() {
@@ -155,6 +168,11 @@
     if (out.size() > 0) {
       ByteBuffer slice = out.peek();
       writing = slice.remaining();
+      if (network.tap != null) {
+        byte[] copy = new byte[writing];
+        slice.duplicate().get(copy);
+        network.tap.data(session.getId(), mine, copy);
+      }
       session.write(IoBuffer.wrap(slice));
     } else if (closing) {
       session.closeNow();
@@ -209,6 +227,9 @@
     if (!closed) {
       closed = true;
       network.forget(this);
+      if (network.tap != null && session != null) {
+        network.tap.closed(session.getId(), closing ? mine : 1 - mine);
+      }
       party.closed();
     }
   }
--- a/mixer/src/main/java/gingerring/net/Network.java
+++ b/mixer/src/main/java/gingerring/net/Network.java
@@ -41,6 +41,8 @@
 
   final Inbox inbox;
   final Counts counts;
+  /** Null where nothing is recorded. */
+  final Tap tap;
   private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
     Thread thread = new Thread(null, task, "mina", STACK);
     thread.setDaemon(true);
@@ -57,9 +59,15 @@
 
   /** {@code within}: without sockets, to addresses that this same network listens at, by MINA's pipes. */
   public Network(Inbox inbox, Counts counts, boolean within) {
+    this(inbox, counts, within, null);
+  }
+
+  /** {@code tap} is told of all that connections carry; null for none. */
+  public Network(Inbox inbox, Counts counts, boolean within, Tap tap) {
     this.inbox = inbox;
     this.counts = counts;
     this.within = within;
+    this.tap = tap;
     if (within) {
       connector = new VmPipeConnector(threads);
     } else {
@@ -91,7 +99,7 @@
       @Override public void sessionCreated(IoSession session) {
         Connection connection = new Connection(Network.this, outMost);
         session.setAttribute(CONNECTION, connection);
-        connection.up(session);
+        connection.up(session, true);
         inbox.post(() -> {
           all.add(connection);
           accepted.accept(connection);
@@ -129,7 +137,7 @@
     all.add(connection);
     ConnectFuture dialled = connector.connect(place(address), (session, future) -> {
       session.setAttribute(CONNECTION, connection);
-      connection.up(session);
+      connection.up(session, false);
     });
     connection.dialled(dialled);
     dialled.addListener(future -> {
--- a/mixer/src/main/java/gingerring/serve/Serve.java
+++ b/mixer/src/main/java/gingerring/serve/Serve.java
@@ -6,6 +6,7 @@
 import gingerring.front.Front;
 import gingerring.net.Counts;
 import gingerring.net.Network;
+import gingerring.net.Tap;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -35,6 +36,7 @@
   private static final int SOCKETS_EACH = 3;
 
   private final Map<String, String> env;
+  private final Tap tap;
   private final Counts counts = new Counts();
   private final Loop loop = new Loop(counts);
   private final CountDownLatch ended = new CountDownLatch(1);
@@ -46,13 +48,19 @@
   private Orders inForce;
   private Duration endBy;
 
-  private Serve(Map<String, String> env) {
+  private Serve(Map<String, String> env, Tap tap) {
     this.env = env;
+    this.tap = tap;
   }
 
   /** Returns the exit code. */
   public static int run(Map<String, String> env, PrintStream complaints) {
-    Serve serve = new Serve(env);
+    return run(env, complaints, null);
+  }
+
+  /** The same, with all that its connections carry told to a tap (null for none). */
+  public static int run(Map<String, String> env, PrintStream complaints, Tap tap) {
+    Serve serve = new Serve(env, tap);
     // before anything is read: untended, SIGHUP ends a process, and one that comes early is not to be lost
     Signal.handle(new Signal("HUP"), signal -> serve.reload());
     try {
@@ -73,7 +81,7 @@
     int rehearsed = new Rehearsal(terms).run();
     // one reading of both clocks
     double startMs = System.currentTimeMillis() - loop.clock().toNanos() / 1e6;
-    network = new Network(loop, counts, false);
+    network = new Network(loop, counts, false, tap);
     desk = new Desk(loop, terms, counts, startMs);
     back = new Back(network, desk, terms, counts, loop);
     inForce = orders;
--- /dev/null
+++ b/traffic/src/main/java/gingerring/traffic/pcap/Nets.java
@@ -0,0 +1,53 @@
+package gingerring.traffic.pcap;
+
+import inet.ipaddr.AddressStringException;
+import inet.ipaddr.IPAddress;
+import inet.ipaddr.IPAddressString;
+import inet.ipaddr.ipv4.IPv4Address;
+import inet.ipaddr.ipv4.IPv4AddressTrie;
+import inet.ipaddr.ipv6.IPv6Address;
+import inet.ipaddr.ipv6.IPv6AddressTrie;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** Which segments are wanted: by networks that an end of theirs is in, and by ports. Empty lists want all. */
+public final class Nets implements Predicate<Segment> {
+  private static final long MAPPED = 0xFFFF00000000L;
+
+  private final IPv4AddressTrie four = new IPv4AddressTrie();
+  private final IPv6AddressTrie six = new IPv6AddressTrie();
+  private final boolean any;
+  private final List<Integer> ports;
+
+  /** Networks such as {@code 10.0.0.0/8}, {@code 2001:db8::/32} or one address; others are refused by name. */
+  public Nets(List<String> networks, List<Integer> ports) {
+    any = networks.isEmpty();
+    this.ports = List.copyOf(ports);
+    for (String network : networks) {
+      try {
+        IPAddress address = new IPAddressString(network).toAddress().toPrefixBlock();
+        if (address.isIPv4()) {
+          four.add(address.toIPv4());
+        } else {
+          six.add(address.toIPv6());
+        }
+      } catch (AddressStringException e) {
+        throw new IllegalArgumentException("no network: " + network);
+      }
+    }
+  }
+
+  @Override public boolean test(Segment segment) {
+    return (any || in(segment.fromHigh, segment.fromLow) || in(segment.toHigh, segment.toLow))
+        && (ports.isEmpty() || ports.contains(segment.fromPort) || ports.contains(segment.toPort));
+  }
+
+  private boolean in(long high, long low) {
+    if (high == 0 && low >>> 32 == MAPPED >>> 32) {
+      return four.elementContains(new IPv4Address((int) low));
+    }
+    byte[] bytes = ByteBuffer.allocate(16).putLong(high).putLong(low).array();
+    return six.elementContains(new IPv6Address(bytes));
+  }
+}
--- /dev/null
+++ b/traffic/src/test/java/gingerring/traffic/Talks.java
@@ -0,0 +1,111 @@
+package gingerring.traffic;
+
+import gingerring.traffic.flow.Bounds;
+import gingerring.traffic.pcap.CaptureReader;
+import gingerring.traffic.pcap.CaptureWriter;
+import gingerring.traffic.record.Forge;
+import gingerring.traffic.scan.Recording;
+import gingerring.traffic.scan.Seen;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Conversations of clients with a mixer as packets, for the tests of this module. */
+public final class Talks {
+  public static final long START = 1_790_000_000_000_000_000L;
+
+  /** A packet in hand. */
+  public record Piece(long nanos, byte[] bytes) {}
+
+  private Talks() {}
+
+  public static String body(String text) {
+    return "{\"targets\":[{\"partition\":0,\"share\":0.75},{\"partition\":3,\"share\":0.25}],\"query\":\"" + text
+        + "\"}";
+  }
+
+  public static String request(String mark, String text, String more) {
+    String body = body(text);
+    return "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: " + mark + "\r\nX-Lane: search\r\nX-Remaining-Ms: 2000\r\n"
+        + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  public static String answer(String mark) {
+    return answer(200, "", "{\"whole\":true,\"results\":[{\"partition\":0,\"value\":\"v-" + mark
+        + "\"},{\"partition\":3,\"value\":\"w\"}]}");
+  }
+
+  public static String answer(int status, String more, String body) {
+    return "HTTP/1.1 " + status + " X\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  public static InetSocketAddress client(int port) {
+    return new InetSocketAddress("127.0.0.1", port);
+  }
+
+  public static InetSocketAddress mixer() {
+    return new InetSocketAddress("127.0.0.2", 8081);
+  }
+
+  /** A connection that asks so many scans a millisecond apart, marks from {@code mark}0 on, and ends. */
+  public static List<Piece> conversation(int port, long seed, String mark, int scans, boolean opens) {
+    List<Piece> pieces = new ArrayList<>();
+    Forge forge = new Forge(client(port), mixer(), seed);
+    Forge.Out out = (nanos, bytes, length) -> pieces.add(new Piece(nanos, Arrays.copyOf(bytes, length)));
+    long now = START;
+    forge.open(now, out);
+    if (!opens) {
+      pieces.clear();
+    }
+    for (int i = 0; i < scans; i++) {
+      byte[] request = request(mark + i, "t" + i + "x".repeat(i * 700 % 4000), "").getBytes(
+          StandardCharsets.US_ASCII);
+      forge.data(now += 1_000_000, 0, request, 0, request.length, out);
+      byte[] answer = answer(mark + i).getBytes(StandardCharsets.US_ASCII);
+      forge.data(now += 1_000_000, 1, answer, 0, answer.length, out);
+    }
+    forge.close(now + 1_000_000, false, 0, out);
+    return pieces;
+  }
+
+  public static byte[] pcap(List<Piece> pieces) {
+    ByteBuffer file = ByteBuffer.allocate(
+        24 + pieces.stream().mapToInt(piece -> 16 + piece.bytes.length).sum());
+    file.putInt(0xa1b23c4d).putInt(2 << 16 | 4).putInt(0).putInt(0).putInt(1 << 18).putInt(Forge.LINK);
+    for (Piece piece : pieces) {
+      file.putInt((int) (piece.nanos / 1_000_000_000)).putInt((int) (piece.nanos % 1_000_000_000))
+          .putInt(piece.bytes.length).putInt(piece.bytes.length).put(piece.bytes);
+    }
+    return file.array();
+  }
+
+  public static void write(Path file, List<Piece> pieces) throws IOException {
+    try (CaptureWriter out = new CaptureWriter(file, Forge.LINK)) {
+      for (Piece piece : pieces) {
+        out.packet(piece.nanos, piece.bytes, 0, piece.bytes.length, piece.bytes.length);
+      }
+    }
+  }
+
+  public static Recording.Summary read(byte[] file, List<Seen> scans) throws IOException {
+    return Recording.read(CaptureReader.of("it", new ByteArrayInputStream(file)), Bounds.USUAL, s -> true,
+        scans::add);
+  }
+
+  public static List<Seen> read(List<Piece> pieces) {
+    List<Seen> scans = new ArrayList<>();
+    try {
+      read(pcap(pieces), scans);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return scans;
+  }
+}
