Give each emulated client its own connection, and begin troubles with the first part

Cause: a recording with 6 connections replayed at ten times its pace held 310 of 318 sends back, and a replay met timed troubles 1.5 s off.

--- a/cli/src/main/java/gingerring/cli/EmulateCommand.java
+++ b/cli/src/main/java/gingerring/cli/EmulateCommand.java
@@ -1,12 +1,14 @@
 package gingerring.cli;
 
 import gingerring.emulator.core.Referee;
+import gingerring.emulator.core.Script;
 import gingerring.emulator.core.World;
 import gingerring.emulator.run.MixerProcess;
 import gingerring.emulator.run.Store;
 import gingerring.traffic.wire.Reactor;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -15,7 +17,8 @@
 import picocli.CommandLine.Spec;
 
 @Command(name = "emulate", mixinStandardHelpOptions = true,
-    description = "Runs a described store (boxes and discovery) on 127.0.0.1 until standard input ends.")
+    description = {"Runs a described store (boxes and discovery) on 127.0.0.1 until standard input ends.",
+        "Its troubles come at their times, counted from the first part that is sent to it."})
 final class EmulateCommand implements Callable<Integer> {
   @Parameters(index = "0", paramLabel = "FILE", description = "the description, in JSON")
   private Path file;
@@ -37,7 +40,8 @@
     Reactor reactor = new Reactor();
     Referee referee = new Referee(world);
     Store store = new Store(world, reactor, referee, Worlds.pace(pace));
-    reactor.post(store::begin);
+    // a replay of a run's recording meets each trouble when the run did
+    store.beginWithFirstPart(Script.of(world).stream().findFirst().map(Script.Wish::at).orElse(Duration.ZERO));
     Thread thread = new Thread(reactor::run, "emulator");
     thread.setDaemon(true);
     thread.start();
--- a/cli/src/main/java/gingerring/cli/Gingerring.java
+++ b/cli/src/main/java/gingerring/cli/Gingerring.java
@@ -45,7 +45,7 @@
         .setExecutionExceptionHandler((e, command, parsed) -> {
           // one plain line; what is wrong with a file or an address names itself
           if (e instanceof IOException || e instanceof IllegalArgumentException) {
-            err.println("gingerring " + command.getCommandName() + ": " + plain(e));
+            err.println(command.getCommandSpec().qualifiedName() + ": " + plain(e));
             return e instanceof IllegalArgumentException ? 2 : 1;
           }
           throw e;
--- a/emulator/src/main/java/gingerring/emulator/run/Clients.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Clients.java
@@ -1,5 +1,6 @@
 package gingerring.emulator.run;
 
+import gingerring.emulator.core.Fate;
 import gingerring.emulator.core.Referee;
 import gingerring.emulator.core.Script.Wish;
 import gingerring.emulator.core.World;
@@ -9,7 +10,7 @@
 import gingerring.net.ByteRing;
 import gingerring.traffic.replay.Retries;
 import gingerring.traffic.scan.Answer;
-import gingerring.traffic.scan.Seen.Fate;
+import gingerring.traffic.scan.Seen;
 import gingerring.traffic.wire.Reactor;
 import gingerring.traffic.wire.Wire;
 import java.io.ByteArrayOutputStream;
@@ -18,14 +19,16 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 
 /**
- * The clients of a run: each wish is asked at its time on an idle connection, or a new one while there are
- * fewer than the world's number, else as soon as one is idle. A wish that was not answered is tried again.
+ * The clients of a run. Each wish belongs to one of the world's clients, drawn from the seed, and is asked at
+ * its time on a connection of that client that is idle, or on a new one; with twice as many connections as
+ * clients open, it waits. A wish that was not answered is tried again.
  */
 final class Clients {
   private final World world;
@@ -35,10 +38,10 @@
   private final double pace;
   private final Tally tally;
   private final Retries retries;
-  private final Deque<Client> idle = new ArrayDeque<>();
+  private final Map<Integer, Deque<Client>> idle = new HashMap<>();
   private final Deque<Try> waiting = new ArrayDeque<>();
   private final Runnable over;
-  private int clients;
+  private int connections;
   private int open;
   private int marks;
 
@@ -70,13 +73,14 @@
   }
 
   private void ask(Try next) {
-    Client client = null;
-    while (client == null && !idle.isEmpty()) {
-      client = idle.pollFirst();
-      client = client.wire.open() ? client : null;
+    int who = (int) (Fate.draw(world.seed(), "client", next.wish.number()) * world.clients());
+    Deque<Client> mine = idle.computeIfAbsent(who, w -> new ArrayDeque<>());
+    Client client = mine.pollFirst();
+    while (client != null && !client.wire.open()) {
+      client = mine.pollFirst();
     }
-    if (client == null && clients < world.clients()) {
-      client = new Client();
+    if (client == null && connections < 2 * world.clients()) {
+      client = new Client(who);
     }
     if (client == null) {
       tally.waited++;
@@ -88,7 +92,7 @@
 
   private void ended(Try which, Answer answer) {
     Duration took = reactor.now().minus(which.first);
-    Optional<Duration> again = answer.fate() == Fate.WHOLE || answer.fate() == Fate.PART ? Optional.empty()
+    Optional<Duration> again = answer.fate() == Seen.Fate.WHOLE || answer.fate() == Seen.Fate.PART ? Optional.empty()
         : retries.next(which.number, answer.comeBack());
     tally.ended(which.wish, answer, took, reactor.now());
     if (again.isPresent() && took.plus(again.get()).compareTo(which.wish.grade().patience()) < 0) {
@@ -110,6 +114,7 @@
   private final class Client implements Wire.Owner, HttpParser.Sink {
     private static final int PIECE = 1 << 13;
 
+    private final int who;
     private final Wire wire;
     private final ByteRing ring = new ByteRing(PIECE, 2 * PIECE);
     private final HttpParser parser = new HttpParser(false, 1 << 20, this);
@@ -119,8 +124,9 @@
     private String mark;
     private boolean gone;
 
-    Client() {
-      clients++;
+    Client(int who) {
+      this.who = who;
+      connections++;
       wire = reactor.dial(mixer, this);
     }
 
@@ -181,14 +187,14 @@
       }
       now = null;
       Answer answer = Answer.read(whole, json);
-      boolean served = answer.fate() == Fate.WHOLE || answer.fate() == Fate.PART;
-      referee.answered(mark, reactor.now(), answer.fate() == Fate.NACKED, answer.whole(),
+      boolean served = answer.fate() == Seen.Fate.WHOLE || answer.fate() == Seen.Fate.PART;
+      referee.answered(mark, reactor.now(), answer.fate() == Seen.Fate.NACKED, answer.whole(),
           served ? answer.values() : null);
       if (whole.says("connection", "close")) {
         leave();
         wire.close();
       } else {
-        idle.addFirst(this);
+        idle.get(who).addFirst(this);
       }
       ended(ended, answer);
     }
@@ -196,8 +202,8 @@
     private void leave() {
       if (!gone) {
         gone = true;
-        clients--;
-        idle.remove(this);
+        connections--;
+        idle.get(who).remove(this);
       }
     }
 
@@ -207,7 +213,7 @@
         Try ended = now;
         now = null;
         referee.left(mark, reactor.now());
-        ended(ended, new Answer(Fate.LEFT, 0, false, Map.of(), Duration.ZERO, "its connection ended"));
+        ended(ended, new Answer(Seen.Fate.LEFT, 0, false, Map.of(), Duration.ZERO, "its connection ended"));
       }
     }
 
--- a/emulator/src/main/java/gingerring/emulator/run/Store.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Store.java
@@ -71,6 +71,7 @@
   private Reactor.Listening discovery;
   private int revision = 1;
   private long broken;
+  private Duration firstPartAt;
 
   /** Starts at once; {@code referee} is told of all that the boxes see. */
   public Store(World world, Reactor reactor, Referee referee, double pace) throws IOException {
@@ -107,9 +108,18 @@
     return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
   }
 
+  /** The run begins with the first part that comes, which is taken to come at this time of the world. */
+  public void beginWithFirstPart(Duration at) {
+    firstPartAt = at;
+  }
+
   /** The run begins now: troubles come at their times from here on. */
   public void begin() {
-    zero = reactor.now();
+    begin(Duration.ZERO);
+  }
+
+  private void begin(Duration at) {
+    zero = reactor.now().minus(scaled(at));
     for (Trouble trouble : world.troubles()) {
       for (int number : world.struck(trouble)) {
         Seat seat = seats.get(number);
@@ -323,6 +333,10 @@
     }
 
     private void call(byte[] frame) {
+      if (firstPartAt != null) {
+        begin(firstPartAt);
+        firstPartAt = null;
+      }
       for (int at = 1; at < frame.length;) {
         int end = at;
         while (end < frame.length && frame[end] != '\n') {
--- a/mixer/src/main/java/gingerring/net/Tap.java
+++ b/mixer/src/main/java/gingerring/net/Tap.java
@@ -14,4 +14,7 @@
 
   /** {@code side}: who ended it, as far as it is known. */
   void closed(long connection, int side);
+
+  /** The process is about to end: what is kept is to be written, within seconds. */
+  default void end() {}
 }
--- a/mixer/src/main/java/gingerring/serve/Serve.java
+++ b/mixer/src/main/java/gingerring/serve/Serve.java
@@ -103,6 +103,9 @@
     status();
     loop.run(back::dispatch, network::flush);
     LOG.info("ended; counts: {}", counts);
+    if (tap != null) {
+      tap.end();
+    }
     ended.countDown();
     return 0;
   }
--- a/traffic/src/main/java/gingerring/traffic/record/Recorder.java
+++ b/traffic/src/main/java/gingerring/traffic/record/Recorder.java
@@ -227,6 +227,10 @@
     return z ^ z >>> 31;
   }
 
+  @Override public void end() {
+    close();
+  }
+
   /** Writes what is queued and ends the file; waits some seconds at most. */
   @Override public void close() {
     ending = true;
