--- /dev/null
+++ b/bench/src/main/java/gingerring/bench/ReadingBench.java
@@ -0,0 +1,94 @@
+package gingerring.bench;
+
+import gingerring.traffic.flow.Bounds;
+import gingerring.traffic.pcap.CaptureReader;
+import gingerring.traffic.pcap.Layers;
+import gingerring.traffic.pcap.Packet;
+import gingerring.traffic.pcap.Segment;
+import gingerring.traffic.scan.Recording;
+import gingerring.traffic.scan.Seen;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OperationsPerInvocation;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Packets a second of each stage over the same capture in memory, so that their ratios show what costs. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.Throughput)
+@OutputTimeUnit(TimeUnit.SECONDS)
+@Warmup(iterations = 2, time = 2)
+@Measurement(iterations = 3, time = 3)
+@Fork(1)
+public class ReadingBench {
+  private static final int PACKETS = 30_000;
+
+  private byte[] file;
+
+  @Setup public void make() throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    DataOutputStream out = new DataOutputStream(bytes);
+    for (int value : new int[] {0xa1b23c4d, 2 << 16 | 4, 0, 0, 1 << 18, 101}) {
+      out.writeInt(value);
+    }
+    int[] packets = {0};
+    new Traffic().write(500, 64L << 20, (nanos, packet, length) -> {
+      if (packets[0]++ < PACKETS) {
+        out.writeInt((int) (nanos / 1_000_000_000));
+        out.writeInt((int) (nanos % 1_000_000_000));
+        out.writeInt(length);
+        out.writeInt(length);
+        out.write(packet, 0, length);
+      }
+    });
+    file = bytes.toByteArray();
+  }
+
+  private CaptureReader reader() throws IOException {
+    return CaptureReader.of("it", new ByteArrayInputStream(file));
+  }
+
+  @Benchmark @OperationsPerInvocation(PACKETS) public long packets() throws IOException {
+    CaptureReader reader = reader();
+    Packet packet = new Packet();
+    long bytes = 0;
+    while (reader.next(packet)) {
+      bytes += packet.length;
+    }
+    return bytes;
+  }
+
+  @Benchmark @OperationsPerInvocation(PACKETS) public long segments() throws IOException {
+    CaptureReader reader = reader();
+    Packet packet = new Packet();
+    Segment segment = new Segment();
+    Layers layers = new Layers();
+    long bytes = 0;
+    while (reader.next(packet)) {
+      bytes += layers.read(packet, segment) ? segment.length : 0;
+    }
+    return bytes;
+  }
+
+  @Benchmark @OperationsPerInvocation(PACKETS) public long fates() throws IOException {
+    long[] whole = {0};
+    Recording.skim(reader(), Bounds.USUAL, segment -> true,
+        exchange -> whole[0] += exchange.fate() == Seen.Fate.WHOLE ? 1 : 0);
+    return whole[0];
+  }
+
+  @Benchmark @OperationsPerInvocation(PACKETS) public long scans() throws IOException {
+    return Recording.read(reader(), Bounds.USUAL, segment -> true, seen -> {}).scans();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/gingerring/bench/RecordingCost.java
@@ -0,0 +1,41 @@
+package gingerring.bench;
+
+import gingerring.emulator.core.World;
+import gingerring.emulator.run.Run;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What recording costs a mixer: the same described run by turns without and with it, CPU for each scan and the
+ * 99th percentile of the time to an answer. {@code RecordingCost WORLD FOLDER ROUNDS}; emulated boxes.
+ */
+public final class RecordingCost {
+  private RecordingCost() {}
+
+  public static void main(String[] args) throws IOException, World.Unfit {
+    World world = World.read(Files.readAllBytes(Path.of(args[0])));
+    Path file = Path.of(args[1]).resolve("cost.pcapng");
+    System.out.println("round,recording,scans,cpu_us_a_scan,p50_ms,p99_ms,service");
+    double[] cpu = {0, 0};
+    Histogram[] all = {new Histogram(3), new Histogram(3)};
+    for (int round = 0; round < Integer.parseInt(args[2]); round++) {
+      for (int on = 0; on < 2; on++) {
+        Run.Result result = Run.of(world, Run.Router.MIXER, 1, on == 1 ? file : null);
+        Histogram micros = new Histogram(3);
+        result.tally().grades.values().forEach(grade -> micros.add(grade.micros));
+        all[on].add(micros);
+        double each = result.mixerCpu() * 1e6 / result.tally().asked;
+        cpu[on] += each;
+        System.out.printf(Locale.ROOT, "%d,%s,%d,%.0f,%.2f,%.2f,%.4f%n", round, on == 1 ? "on" : "off",
+            result.tally().asked, each, micros.getValueAtPercentile(50) / 1e3,
+            micros.getValueAtPercentile(99) / 1e3, result.tally().service());
+      }
+    }
+    System.out.printf(Locale.ROOT, "ratio on/off: CPU %.3f, p50 %.3f, p99 %.3f%n", cpu[1] / cpu[0],
+        (double) all[1].getValueAtPercentile(50) / all[0].getValueAtPercentile(50),
+        (double) all[1].getValueAtPercentile(99) / all[0].getValueAtPercentile(99));
+  }
+}
--- a/cli/src/main/java/gingerring/cli/PcapCommand.java
+++ b/cli/src/main/java/gingerring/cli/PcapCommand.java
@@ -67,8 +67,11 @@
   @Command(name = "info", mixinStandardHelpOptions = true, description = "What is in a file, and what could not be read.")
   int info(@Parameters(paramLabel = "FILE") Path file, @Mixin Wanted wanted) throws IOException {
     Map<Seen.Fate, Long> fates = new EnumMap<>(Seen.Fate.class);
-    Recording.Summary it = Recording.read(file, Bounds.USUAL, wanted.nets(),
-        seen -> fates.merge(seen.fate(), 1L, Long::sum));
+    Recording.Summary it;
+    try (CaptureReader capture = CaptureReader.open(file)) {
+      it = Recording.skim(capture, Bounds.USUAL, wanted.nets(),
+          exchange -> fates.merge(exchange.fate(), 1L, Long::sum));
+    }
     PrintWriter out = out();
     double seconds = (it.lastNanos() - it.firstNanos()) / 1e9;
     out.printf(Locale.ROOT, "%s: %d packets, %d bytes, %.3f s from %s%n", file, it.packets(), it.bytes(),
--- a/cli/src/main/java/gingerring/cli/ReplayCommand.java
+++ b/cli/src/main/java/gingerring/cli/ReplayCommand.java
@@ -73,6 +73,8 @@
   @Spec private CommandSpec spec;
 
   @Override public Integer call() throws Exception {
+    InetSocketAddress mixer = address(to);
+    double times = paceOf(pace);
     List<Seen> scans = new ArrayList<>();
     Recording.Summary read = Recording.read(file, Bounds.USUAL, wanted.nets(), seen -> {
       if (scans.size() <= Plan.MOST) {
@@ -83,8 +85,8 @@
       throw new IOException(file + ": no scans in it");
     }
     boolean anew = retries == RetryMode.ANEW;
-    Plan plan = new Plan(scans, paceOf(pace), anew);
-    Replayer.Result result = Replayer.run(plan, new Replayer.Wish(address(to), paceOf(pace),
+    Plan plan = new Plan(scans, times, anew);
+    Replayer.Result result = Replayer.run(plan, new Replayer.Wish(mixer, times,
         Duration.ofMillis(lateMost), anew ? new Retries(Retries.Rule.USUAL, new SplittableRandom(seed)) : null));
     PrintWriter print = spec.commandLine().getOut();
     print(print, read, result);
--- /dev/null
+++ b/cli/src/test/java/gingerring/cli/GingerringTest.java
@@ -0,0 +1,121 @@
+package gingerring.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gingerring.emulator.core.Referee;
+import gingerring.emulator.core.Script;
+import gingerring.emulator.core.World;
+import gingerring.emulator.run.MixerProcess;
+import gingerring.emulator.run.Run;
+import gingerring.emulator.run.Store;
+import gingerring.traffic.wire.Reactor;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The command line, and through it the whole path: a run is recorded, read, and replayed. */
+@Timeout(180)
+class GingerringTest {
+  private static final String WORLD = "{\"seed\": 3, \"boxes\": 12, \"rate\": 30, \"lengthMs\": 6000, "
+      + "\"clients\": 400, \"badParts\": 0.01, \"queueMost\": 400, \"pauseMs\": [20, 60]}";
+
+  @TempDir Path folder;
+  private String out;
+  private String err;
+
+  private int gingerring(Object... args) {
+    StringWriter outText = new StringWriter();
+    StringWriter errText = new StringWriter();
+    int code = Gingerring.run(new PrintWriter(outText, true), new PrintWriter(errText, true),
+        Arrays.stream(args).map(Object::toString).toArray(String[]::new));
+    out = outText.toString();
+    err = errText.toString();
+    return code;
+  }
+
+  private double agreement(Path recording, World world, double pace) throws Exception {
+    Reactor reactor = new Reactor();
+    Store store = new Store(world, reactor, new Referee(world), pace);
+    store.beginWithFirstPart(Script.of(world).get(0).at());
+    Thread thread = new Thread(reactor::run);
+    thread.start();
+    try (MixerProcess mixer = MixerProcess.start(world, store.discovery(), store.list(), null)) {
+      int code = gingerring("replay", recording, "--to", "127.0.0.1:" + mixer.address().getPort(), "--pace", pace,
+          "--late-most", 1000, "--out", folder.resolve("x" + pace));
+      assertEquals(0, code, out + err);
+      Matcher agree = Pattern.compile("([0-9]+) of ([0-9]+) scans agree").matcher(out);
+      assertTrue(agree.find(), out);
+      assertTrue(Integer.parseInt(agree.group(2)) > 100, out);
+      return Double.parseDouble(agree.group(1)) / Double.parseDouble(agree.group(2));
+    } finally {
+      reactor.stop();
+      thread.join(5000);
+    }
+  }
+
+  @Test void aRecordedRunIsReplayedWithTheSameOutcomes() throws Exception {
+    World world = World.read(WORLD.getBytes());
+    Path recording = folder.resolve("run.pcapng");
+    Run.Result run = Run.of(world, Run.Router.MIXER, 1, recording);
+    assertEquals(0, run.referee().fouls(), () -> run.referee().shown().toString());
+    assertEquals(0, run.exitCode());
+    assertEquals(0, gingerring("pcap", "info", recording), out + err);
+    assertTrue(out.contains(" " + run.tally().asked + " scans ") || out.contains("; " + run.tally().asked
+        + " scans"), out);
+    assertTrue(out.contains("the file is whole"), out);
+    assertEquals(0, gingerring("pcap", "scans", recording));
+    assertEquals(run.tally().asked + 1, out.lines().count());
+    assertTrue(agreement(recording, world, 1) >= 0.99, out);
+    assertTrue(agreement(recording, world, 5) >= 0.97, out);
+    assertTrue(Files.size(folder.resolve("x5.0/timelines.png")) > 1000);
+
+    Path cut = folder.resolve("cut.pcapng");
+    byte[] bytes = Files.readAllBytes(recording);
+    Files.write(cut, Arrays.copyOf(bytes, bytes.length / 2));
+    assertEquals(3, gingerring("pcap", "info", cut));
+    assertTrue(out.contains("cut.pcapng: offset "), out);
+    Path some = folder.resolve("some.pcap");
+    assertEquals(0, gingerring("pcap", "cut", recording, some, "--from", 1, "--to", 3), err);
+    assertTrue(Files.size(some) < bytes.length / 2);
+  }
+
+  @Test void plainRandomChoiceIsFoundOut() throws Exception {
+    World world = World.read(("{\"boxes\": 6, \"rate\": 60, \"lengthMs\": 5000, \"listLagMs\": 0, "
+        + "\"drainGraceMs\": 200, \"troubles\": [{\"kind\": \"drain\", \"atMs\": 500, \"forMs\": 20000}]}")
+        .getBytes());
+    Run.Result random = Run.of(world, Run.Router.RANDOM, 1, null);
+    assertTrue(random.referee().counts().containsKey(Referee.Rule.DRAIN), random.referee().counts().toString());
+  }
+
+  @Test void badInputIsOnePlainLine() throws Exception {
+    Path junk = folder.resolve("junk.pcap");
+    Files.writeString(junk, "this is no capture file");
+    Path none = folder.resolve("none.pcap");
+    assertEquals(1, gingerring("pcap", "info", junk));
+    assertEquals("gingerring pcap info: " + junk + ": offset 0: neither pcap nor pcapng", err.strip());
+    assertEquals(1, gingerring("pcap", "info", none));
+    assertEquals("gingerring pcap info: " + none + ": no such file", err.strip());
+    Path made = folder.resolve("made.pcap");
+    assertEquals(1, gingerring("pcap", "merge", made, junk));
+    assertFalse(Files.exists(made) || Files.exists(folder.resolve("made.pcap.part")));
+    assertEquals(2, gingerring("pcap", "cut", junk, junk));
+    assertEquals(2, gingerring("replay", junk, "--to", "10.0.0.1:80"));
+    assertEquals(2, gingerring("pcap", "flood"));
+    assertEquals(2, gingerring());
+    Path world = folder.resolve("world.json");
+    Files.writeString(world, "{\"boxen\": 1}");
+    assertEquals(1, gingerring("experiment", world));
+    assertEquals("gingerring experiment: " + world + ": boxen is unknown", err.strip());
+    assertEquals(0, gingerring("--help"));
+    assertTrue(out.contains("Exit codes:") && out.contains("generate-completion"), out);
+  }
+}
--- a/emulator/src/main/java/gingerring/emulator/run/Run.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Run.java
@@ -18,7 +18,10 @@
   /** Which router stands before the store. */
   public enum Router { MIXER, RANDOM }
 
-  /** What came of a run; {@code load} by box: parts done, and milliseconds of work. */
+  /**
+   * What came of a run; {@code load} by box: parts done, and milliseconds of work. {@code mixerCpu}: seconds of CPU
+   * that the mixer used from its start to the last answer, NaN where there was none.
+   */
   public record Result(Router router, Tally tally, Referee referee, Map<Integer, double[]> load, Duration took,
       double mixerCpu, int exitCode, int failures) {}
 
@@ -46,6 +49,7 @@
         address = new RandomRouter(world, reactor, store.list()).address();
         thread.start();
       }
+      double cpuBefore = mixer == null ? Double.NaN : mixer.cpuSeconds();
       CountDownLatch over = new CountDownLatch(1);
       AtomicReference<Duration> took = new AtomicReference<>(Duration.ZERO);
       reactor.post(() -> {
@@ -62,7 +66,7 @@
       if (!over.await(most, TimeUnit.MILLISECONDS)) {
         throw new IOException("the run did not end within " + most + " ms");
       }
-      double cpu = mixer == null ? Double.NaN : mixer.cpuSeconds();
+      double cpu = mixer == null ? Double.NaN : mixer.cpuSeconds() - cpuBefore;
       int code = mixer == null ? 0 : mixer.end();
       return new Result(router, tally, referee, store.load(), took.get(), cpu, code, reactor.failures());
     } catch (InterruptedException e) {
--- /dev/null
+++ b/emulator/src/test/java/gingerring/emulator/core/RefereeTest.java
@@ -0,0 +1,167 @@
+package gingerring.emulator.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gingerring.emulator.core.Referee.Rule;
+import java.time.Duration;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The referee sees each rule broken, and nothing in a run that keeps them. */
+class RefereeTest {
+  private static final Map<Integer, Double> SHARES = Map.of(0, 0.5, 1, 0.3, 2, 0.2);
+
+  private Referee referee;
+
+  @BeforeEach void world() throws Exception {
+    referee = new Referee(World.read("""
+        {"boxes": 4, "copies": 2, "trips": 2, "grades": [
+          {"name": "search", "floor": 0.4},
+          {"name": "post", "repeats": "numbered", "windowMs": 1000},
+          {"name": "once", "repeats": "at-most-once"}]}""".getBytes()));
+  }
+
+  private static Duration ms(long ms) {
+    return Duration.ofMillis(ms);
+  }
+
+  private void ask(String mark, String grade) {
+    referee.asked(mark, grade, SHARES, "key", ms(0), ms(2000));
+  }
+
+  /** A part goes to the box at which its folio begins, and is done there. */
+  private void done(String mark, int folio) {
+    referee.part(mark, folio, "key", folio, ms(10));
+    referee.returned(mark, folio, folio, "done", "v" + folio);
+  }
+
+  private void only(Rule rule) {
+    assertEquals(Map.of(rule, 1), referee.counts());
+  }
+
+  @Test void aRunThatKeepsTheRulesIsNotBlamed() {
+    for (String grade : new String[] {"search", "post", "once"}) {
+      ask(grade, grade);
+      referee.part(grade, 0, "key", 0, ms(5));
+      referee.returned(grade, 0, 0, "full", null); // it never ran: free to go again
+      referee.part(grade, 0, "key", 1, ms(6));
+      referee.returned(grade, 0, 1, "done", "v0");
+      done(grade, 1);
+      done(grade, 2);
+      referee.answered(grade, ms(20), false, true, Map.of(0, "v0", 1, "v1", 2, "v2"));
+    }
+    ask("part", "search");
+    done("part", 0);
+    referee.answered("part", ms(20), false, false, Map.of(0, "v0"));
+    ask("refused", "once");
+    referee.answered("refused", ms(20), true, false, null);
+    ask("gone", "search");
+    referee.left("gone", ms(100));
+    referee.answered("gone", ms(120), false, false, null);
+    referee.told(3, ms(0));
+    ask("drains", "search");
+    referee.part("drains", 2, "key", 3, ms(1000)); // within the grace
+    referee.told(3, null);
+    assertEquals(Map.of(), referee.counts());
+  }
+
+  @Test void aScanWithoutAnAnswer() {
+    ask("a", "search");
+    referee.lost("a", ms(2050));
+    only(Rule.SCAN_LOST);
+  }
+
+  @Test void aScanAnsweredTwice() {
+    ask("a", "search");
+    referee.answered("a", ms(20), true, false, null);
+    referee.answered("a", ms(30), true, false, null);
+    only(Rule.SCAN_LOST);
+  }
+
+  @Test void aScanAnsweredTooLate() {
+    ask("a", "search");
+    referee.answered("a", ms(2051), true, false, null);
+    only(Rule.SCAN_LOST);
+  }
+
+  @Test void aPartSentAfterTheAnswer() {
+    ask("a", "search");
+    referee.answered("a", ms(20), true, false, null);
+    referee.part("a", 0, "key", 0, ms(71));
+    only(Rule.SCAN_LOST);
+  }
+
+  @Test void anAtMostOncePartSentAgainThatMayHaveRun() {
+    ask("a", "once");
+    referee.part("a", 0, "key", 0, ms(5));
+    referee.part("a", 0, "key", 1, ms(500));
+    only(Rule.EFFECT_TWICE);
+  }
+
+  @Test void anAtMostOnceScanNackedThatMayHaveRun() {
+    ask("a", "once");
+    referee.part("a", 0, "key", 0, ms(5));
+    referee.returned("a", 0, 0, "failed", null);
+    referee.answered("a", ms(20), true, false, null);
+    only(Rule.EFFECT_TWICE);
+  }
+
+  @Test void aNumberedPartSentAgainAfterItsMarkWasForgotten() {
+    ask("a", "post");
+    referee.part("a", 0, "key", 0, ms(5));
+    referee.part("a", 0, "key", 1, ms(1056));
+    only(Rule.EFFECT_TWICE);
+  }
+
+  @Test void aPartSentToADrainedBox() {
+    referee.told(0, ms(0));
+    ask("a", "search");
+    referee.part("a", 0, "key", 0, ms(1051));
+    only(Rule.DRAIN);
+  }
+
+  @Test void aColdBoxPushedOver() {
+    referee.fell(1, ms(7));
+    only(Rule.COLD_BOX);
+  }
+
+  @Test void anAnswerUnderTheFloor() {
+    ask("a", "search");
+    done("a", 1);
+    referee.answered("a", ms(20), false, false, Map.of(1, "v1"));
+    only(Rule.HONEST_ANSWER);
+  }
+
+  @Test void anAnswerMarkedWholeThatIsNot() {
+    ask("a", "search");
+    done("a", 0);
+    done("a", 1);
+    referee.answered("a", ms(20), false, true, Map.of(0, "v0", 1, "v1"));
+    only(Rule.HONEST_ANSWER);
+  }
+
+  @Test void aValueThatNoBoxGave() {
+    ask("a", "search");
+    done("a", 0);
+    referee.part("a", 1, "key", 1, ms(10)); // out, and not back
+    referee.answered("a", ms(20), false, false, Map.of(0, "v0", 1, "v1"));
+    only(Rule.HONEST_ANSWER);
+  }
+
+  @Test void aTripTooMany() {
+    ask("a", "search");
+    for (int i = 0; i < 3; i++) {
+      referee.part("a", 0, "key", i % 2, ms(5 + i));
+    }
+    only(Rule.TRIPS);
+  }
+
+  @Test void aPartThatNobodyAskedForOrThatItsBoxDoesNotHold() {
+    ask("a", "search");
+    referee.part("a", 3, "key", 3, ms(5));
+    only(Rule.STRANGE_PART);
+    referee.part("a", 0, "key", 3, ms(5));
+    assertEquals(2, referee.fouls());
+  }
+}
--- a/traffic/src/main/java/gingerring/traffic/record/Recorder.java
+++ b/traffic/src/main/java/gingerring/traffic/record/Recorder.java
@@ -85,6 +85,11 @@
     return dropped.get();
   }
 
+  /** Events that wait to be written. */
+  int queued() {
+    return queue.size();
+  }
+
   // ---- the mixer's threads ----
 
   @Override public void opened(long connection, InetSocketAddress opener, InetSocketAddress listener) {
--- a/traffic/src/main/java/gingerring/traffic/replay/Pacer.java
+++ b/traffic/src/main/java/gingerring/traffic/replay/Pacer.java
@@ -100,6 +100,9 @@
 
   /** The request on this connection has ended, one way or another. */
   public void ended(int lane, Duration now) {
+    if (!busy.get(lane)) {
+      return; // nothing was out on it
+    }
     busy.set(lane, false);
     Step next = lanes.get(lane).peekFirst();
     if (next != null) {
--- a/traffic/src/main/java/gingerring/traffic/scan/HttpTalk.java
+++ b/traffic/src/main/java/gingerring/traffic/scan/HttpTalk.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -32,14 +33,15 @@
   private static final String NO_ANSWER = "bytes of its answer were not captured";
 
   /** An answer as it was read: where in its stream it began, and when its last byte came. */
-  private record Answered(Head head, byte[] body, long begin, long at) {}
+  private record Answered(Message message, long begin, long at) {}
 
   private final ScanReader reader;
   private final Flow flow;
   private final String name;
   private final int client;
   private final Half[] halves = new Half[2];
-  private final Deque<Asked> pending = new ArrayDeque<>();
+  private final Message.Found found = new Message.Found();
+  private final Deque<Exchange> pending = new ArrayDeque<>();
   private final Deque<Answered> early = new ArrayDeque<>();
 
   /** {@code begin}: where in the stream of {@code side} the first bytes stand that this is given. */
@@ -56,35 +58,47 @@
     reader.count("connections of clients");
   }
 
-  /** One direction: its bytes through a ring into a parser. */
+  /**
+   * One direction. Plain messages are told by a look over the bytes; what is unusual goes through the parser, a
+   * message at a time.
+   */
   private final class Half implements HttpParser.Sink {
     final boolean requests;
-    final ByteRing ring = new ByteRing(PIECE, 2 * PIECE);
-    HttpParser parser;
-    ByteArrayOutputStream body;
-    Head head;
+    final int bodyMost;
+    /** Bytes that have come and belong to no whole message yet: from {@code first} up to {@code end}. */
+    byte[] kept = new byte[PIECE];
+    int first;
+    int end;
+    int wanted;
     boolean begun;
     long beginAt;
     long beginTaken;
     long begin;
-    /** Where in the stream the ring ends. */
+    /** Where in the stream the kept bytes end. */
     long offset;
     long nanos;
     long taken;
     /** After a hole: the bytes up to a line that begins a message are passed over. */
     boolean astray;
     final StringBuilder line = new StringBuilder();
+    /** While a message is unusual. */
+    HttpParser parser;
+    ByteRing ring;
+    ByteArrayOutputStream body;
+    Head head;
 
     Half(boolean requests) {
       this.requests = requests;
-      anew();
+      bodyMost = requests ? REQUEST_MOST : ANSWER_MOST;
     }
 
     void anew() {
-      parser = new HttpParser(requests, requests ? REQUEST_MOST : ANSWER_MOST, this);
-      ring.clear();
-      body = new ByteArrayOutputStream();
+      parser = null;
+      ring = null;
       head = null;
+      first = 0;
+      end = 0;
+      wanted = 0;
       begun = false;
     }
 
@@ -96,22 +110,30 @@
     }
 
     void add(byte[] bytes, int at, int length) {
-      for (int i = 0; i < length;) {
-        if (astray) {
-          i = seek(bytes, at, i, length);
-        } else {
-          int count = Math.min(length - i, PIECE);
-          ring.put(bytes, at + i, count);
-          offset += count;
-          i += count;
-          read();
-        }
+      int from = astray ? seek(bytes, at, length) : 0;
+      if (from < length) {
+        keep(bytes, at + from, length - from);
+        offset += length - from;
+        read();
+      }
+    }
+
+    private void keep(byte[] bytes, int at, int length) {
+      if (end + length > kept.length) {
+        byte[] larger = end - first + length > kept.length
+            ? new byte[Math.max(2 * kept.length, end - first + length)] : kept;
+        System.arraycopy(kept, first, larger, 0, end - first);
+        kept = larger;
+        end -= first;
+        first = 0;
       }
+      System.arraycopy(bytes, at, kept, end, length);
+      end += length;
     }
 
     /** Looks for a line that begins a message, and returns where reading goes on. */
-    private int seek(byte[] bytes, int at, int i, int length) {
-      for (; i < length; i++) {
+    private int seek(byte[] bytes, int at, int length) {
+      for (int i = 0; i < length; i++) {
         offset++;
         line.append((char) (bytes[at + i] & 0xFF));
         if (line.charAt(line.length() - 1) != '\n') {
@@ -121,39 +143,80 @@
           continue;
         }
         // the message before need not end in a line's end
-        Matcher first = (requests ? REQUEST : ANSWER).matcher(line);
-        if (first.find()) {
+        Matcher found = (requests ? REQUEST : ANSWER).matcher(line);
+        if (found.find()) {
           astray = false;
-          ring.put(first.group().getBytes(StandardCharsets.ISO_8859_1));
+          byte[] text = found.group().getBytes(StandardCharsets.ISO_8859_1);
+          keep(text, 0, text.length);
           line.setLength(0);
-          read();
           return i + 1;
         }
         line.setLength(0);
       }
-      return i;
+      return length;
     }
 
     private void read() {
-      try {
-        while (ring.size() > 0) {
-          if (!begun) {
-            begun = true;
-            beginAt = nanos;
-            beginTaken = taken;
-            begin = offset - ring.size();
-          }
-          if (!parser.read(ring)) {
+      while (first < end || parser != null && ring.size() > 0) {
+        if (!begun) {
+          begun = true;
+          beginAt = nanos;
+          beginTaken = taken;
+          begin = offset - (end - first);
+        }
+        if (parser != null) {
+          if (!parse()) {
             return;
           }
-          begun = false;
+          continue;
+        }
+        if (end - first < wanted) {
+          return;
         }
+        Message.Skim skim = Message.skim(kept, first, end, requests, bodyMost, found);
+        if (skim == Message.Skim.MORE) {
+          wanted = found.end - first; // where its head is whole, there is no need to look before its body is
+          return;
+        }
+        wanted = 0;
+        if (skim == Message.Skim.UNUSUAL) {
+          parser = new HttpParser(requests, bodyMost, this);
+          ring = new ByteRing(PIECE, 2 * PIECE);
+          body = new ByteArrayOutputStream();
+          continue;
+        }
+        Message message = new Message(Arrays.copyOfRange(kept, first, found.end), found.bodyAt - first);
+        first = found.end;
+        begun = false;
+        tell(message);
+      }
+      first = 0;
+      end = 0;
+    }
+
+    /** Gives the parser what there is, a piece at a time; true once a message or the stream's sense has ended. */
+    private boolean parse() {
+      try {
+        while (first < end) {
+          int count = Math.min(PIECE, end - first);
+          ring.put(kept, first, count);
+          first += count;
+          if (parser.read(ring)) {
+            first -= ring.size(); // the next message is looked at anew
+            ring.clear();
+            parser = null;
+            begun = false;
+            return true;
+          }
+        }
+        return false;
       } catch (Malformed e) {
         reader.count(requests ? "requests that are not HTTP/1.1" : "answers that are not HTTP/1.1");
         if (!requests) {
           lost(begin, offset, "its answer is not HTTP/1.1");
         }
         lose(0);
+        return true;
       }
     }
 
@@ -167,13 +230,15 @@
 
     @Override public void end() {
       Head whole = head;
-      byte[] bytes = body.toByteArray();
       head = null;
-      body = new ByteArrayOutputStream();
+      tell(Message.of(whole, body.toByteArray()));
+    }
+
+    private void tell(Message message) {
       if (requests) {
-        asked(new Asked(reader.number(), flow.number, name, whole, bytes, beginAt, nanos, beginTaken));
-      } else if (!whole.second().startsWith("1")) { // 100 Continue is no answer yet
-        answered(new Answered(whole, bytes, begin, nanos));
+        asked(new Exchange(reader.number(), flow.number, name, message, beginAt, nanos, beginTaken));
+      } else if (message.status() / 100 != 1) { // 100 Continue is no answer yet
+        answered(new Answered(message, begin, nanos));
       }
     }
   }
@@ -185,17 +250,17 @@
     half.add(bytes, at, length);
   }
 
-  private void asked(Asked asked) {
+  private void asked(Exchange asked) {
     if (!asked.scan()) {
       reader.count("requests that are no scans");
     }
-    while (!early.isEmpty() && early.peek().begin < asked.taken()) {
+    while (!early.isEmpty() && early.peek().begin < asked.taken) {
       early.poll();
       reader.count("answers whose request was not captured");
     }
     if (pending.isEmpty() && !early.isEmpty()) {
       Answered answer = early.poll();
-      tell(asked.answered(answer.head, answer.body, answer.at));
+      tell(asked.answered(answer.message, answer.at));
       return;
     }
     pending.add(asked);
@@ -206,8 +271,8 @@
   }
 
   private void answered(Answered answer) {
-    if (!pending.isEmpty() && pending.peek().taken() <= answer.begin) {
-      tell(pending.poll().answered(answer.head, answer.body, answer.at));
+    if (!pending.isEmpty() && pending.peek().taken <= answer.begin) {
+      tell(pending.poll().answered(answer.message, answer.at));
       return;
     }
     early.add(answer);
@@ -217,9 +282,9 @@
     }
   }
 
-  private void tell(Seen seen) {
-    if (seen != null) {
-      reader.scan(seen);
+  private void tell(Exchange exchange) {
+    if (exchange.scan()) {
+      reader.scan(exchange);
     }
   }
 
@@ -237,14 +302,14 @@
 
   /** The answers' stream has a hole: every request that may have been answered in it is incomplete. */
   private void lost(long from, long to, String why) {
-    while (!pending.isEmpty() && pending.peek().taken() < to) {
+    while (!pending.isEmpty() && pending.peek().taken < to) {
       tell(pending.poll().incomplete(why));
     }
   }
 
   private void incomplete(Half half, String why) {
     reader.count("requests that are incomplete");
-    tell(Asked.begun(reader.number(), flow.number, name, half.beginAt, why));
+    tell(new Exchange(reader.number(), flow.number, name, null, half.beginAt, 0, 0).incomplete(why));
   }
 
   @Override public void finished(int side, long nanos) {
--- a/traffic/src/main/java/gingerring/traffic/scan/Recording.java
+++ b/traffic/src/main/java/gingerring/traffic/scan/Recording.java
@@ -32,10 +32,16 @@
 
   public static Summary read(CaptureReader capture, Bounds bounds, Predicate<Segment> wanted,
       Consumer<Seen> scans) {
+    return skim(capture, bounds, wanted, exchange -> scans.accept(exchange.seen()));
+  }
+
+  /** The same for those who need not know everything of each scan. */
+  public static Summary skim(CaptureReader capture, Bounds bounds, Predicate<Segment> wanted,
+      Consumer<Exchange> scans) {
     long[] told = {0};
-    ScanReader reader = new ScanReader(seen -> {
+    ScanReader reader = new ScanReader(exchange -> {
       told[0]++;
-      scans.accept(seen);
+      scans.accept(exchange);
     });
     FlowTable table = new FlowTable(bounds, reader);
     Layers layers = new Layers();
--- a/traffic/src/main/java/gingerring/traffic/scan/ScanReader.java
+++ b/traffic/src/main/java/gingerring/traffic/scan/ScanReader.java
@@ -43,12 +43,12 @@
 
   private static final Pattern REQUEST = Pattern.compile("(?s)[A-Z]{3,7} .*");
 
-  private final Consumer<Seen> scans;
+  private final Consumer<Exchange> scans;
   private final Trips trips = new Trips();
   private final Map<String, Long> counts = new TreeMap<>();
   private long numbers;
 
-  public ScanReader(Consumer<Seen> scans) {
+  public ScanReader(Consumer<Exchange> scans) {
     this.scans = scans;
   }
 
@@ -64,8 +64,8 @@
     return numbers++;
   }
 
-  void scan(Seen seen) {
-    scans.accept(seen);
+  void scan(Exchange exchange) {
+    scans.accept(exchange);
   }
 
   void count(String what) {
--- /dev/null
+++ b/traffic/src/test/java/gingerring/traffic/record/RecorderTest.java
@@ -0,0 +1,168 @@
+package gingerring.traffic.record;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gingerring.traffic.Talks;
+import gingerring.traffic.flow.Bounds;
+import gingerring.traffic.pcap.CaptureReader;
+import gingerring.traffic.pcap.Edits;
+import gingerring.traffic.pcap.Nets;
+import gingerring.traffic.pcap.Packet;
+import gingerring.traffic.scan.Recording;
+import gingerring.traffic.scan.Seen;
+import gingerring.traffic.scan.Seen.Fate;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Recordings written as a mixer's threads tell them, and files made from them. */
+class RecorderTest {
+  private static final Recorder.Rotation ONE = new Recorder.Rotation(1 << 30, Duration.ofHours(1), 100);
+
+  @TempDir Path folder;
+
+  private static void say(Recorder recorder, long connection, int scan) {
+    recorder.data(connection, 0, Talks.request("m" + connection + '.' + scan, "secret-" + scan,
+        "Idempotency-Key: hush-" + scan + "\r\n").getBytes(StandardCharsets.US_ASCII));
+    recorder.data(connection, 1, Talks.answer("m" + connection + '.' + scan).getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private Path recorded(int connections, int scans) throws Exception {
+    Path file = folder.resolve("r.pcapng");
+    try (Recorder recorder = new Recorder(file, ONE, 1).start()) {
+      for (long c = 1; c <= connections; c++) {
+        recorder.opened(c, Talks.client(4000 + (int) c), Talks.mixer());
+        for (int i = 0; i < scans; i++) {
+          say(recorder, c, i);
+        }
+        recorder.closed(c, 0);
+      }
+    }
+    return file;
+  }
+
+  private static List<Seen> scans(Path file) throws Exception {
+    List<Seen> scans = new ArrayList<>();
+    Recording.read(file, Bounds.USUAL, s -> true, scans::add);
+    return scans;
+  }
+
+  @Test void whatIsRecordedIsReadBack() throws Exception {
+    List<Seen> scans = scans(recorded(20, 10));
+    assertEquals(200, scans.size());
+    assertTrue(scans.stream().allMatch(seen -> seen.fate() == Fate.WHOLE));
+    assertEquals("hush-3", scans.get(3).key());
+  }
+
+  @Test void checksumsHold() throws Exception {
+    Path file = recorded(2, 3);
+    try (CaptureReader reader = CaptureReader.open(file)) {
+      Packet packet = new Packet();
+      int packets = 0;
+      while (reader.next(packet)) {
+        packets++;
+        byte[] b = packet.bytes;
+        assertEquals(0xFFFF, sum(0, b, packet.at, 20), "IP");
+        long pseudo = sum(6 + packet.length - 20, b, packet.at + 12, 8);
+        assertEquals(0xFFFF, sum(pseudo, b, packet.at + 20, packet.length - 20), "TCP");
+      }
+      assertTrue(packets > 20);
+    }
+  }
+
+  private static long sum(long from, byte[] b, int at, int length) {
+    long sum = from;
+    for (int i = 0; i < length; i++) {
+      sum += (b[at + i] & 0xFFL) << (i % 2 == 0 ? 8 : 0);
+    }
+    while (sum > 0xFFFF) {
+      sum = (sum & 0xFFFF) + (sum >> 16);
+    }
+    return sum;
+  }
+
+  /** Guards against a recording that holds a mixer up, or that hides what it lost. */
+  @Test void aFullQueueDropsAndTheFileSaysSo() throws Exception {
+    Path file = folder.resolve("full.pcapng");
+    Recorder recorder = new Recorder(file, ONE, 1, 40);
+    recorder.opened(1, Talks.client(4001), Talks.mixer());
+    for (int i = 0; i < 30; i++) {
+      say(recorder, 1, i); // nothing takes from the queue yet
+    }
+    assertEquals(21, recorder.dropped());
+    recorder.start();
+    for (int i = 0; i < 200 && recorder.queued() > 0; i++) {
+      Thread.sleep(10);
+    }
+    say(recorder, 1, 30);
+    recorder.closed(1, 0);
+    recorder.close();
+    List<Seen> scans = new ArrayList<>();
+    Recording.Summary summary = Recording.read(file, Bounds.USUAL, s -> true, scans::add);
+    assertEquals(21, summary.drops());
+    List<String> whole = scans.stream().filter(seen -> seen.fate() == Fate.WHOLE).map(Seen::mark).toList();
+    assertEquals(20, whole.size());
+    assertEquals("m1.30", whole.get(19)); // what follows the hole is read again
+    assertFalse(whole.contains("m1.25"));
+  }
+
+  @Test void filesRotateAndTheEldestGoes() throws Exception {
+    Path file = folder.resolve("rot.pcap");
+    try (Recorder recorder = new Recorder(file, new Recorder.Rotation(4000, Duration.ofHours(1), 3), 1).start()) {
+      recorder.opened(1, Talks.client(4001), Talks.mixer());
+      for (int i = 0; i < 100; i++) {
+        say(recorder, 1, i);
+      }
+    }
+    try (var files = Files.list(folder)) {
+      List<String> names = files.map(each -> each.getFileName().toString()).sorted().toList();
+      assertTrue(names.size() <= 4 && names.stream().noneMatch(name -> name.endsWith(".part")), names.toString());
+      assertFalse(names.contains("rot.pcap"));
+      assertFalse(scans(folder.resolve(names.get(0))).isEmpty());
+    }
+  }
+
+  @Test void cutAndMergeKeepWhatTheyAreToKeep() throws Exception {
+    Path file = recorded(4, 5);
+    Path one = folder.resolve("one.pcap");
+    Path rest = folder.resolve("rest.pcap");
+    Path all = folder.resolve("all.pcap.gz");
+    Edits.cut(file, one, 0, Long.MAX_VALUE, new Nets(List.of("127.0.0.0/8"), List.of(4002)), false);
+    assertEquals(5, scans(one).size());
+    Edits.cut(file, rest, 0, Long.MAX_VALUE, new Nets(List.of(), List.of(4001, 4003, 4004)), false);
+    Edits.merge(List.of(rest, one), all);
+    assertEquals(20, scans(all).size());
+    Edits.cut(file, one, 0, Long.MAX_VALUE, new Nets(List.of("10.0.0.0/8"), List.of()), false);
+    assertEquals(0, scans(one).size());
+  }
+
+  @Test void anonymisedNothingCanBeReadAndRepeatsStayAlike() throws Exception {
+    Path file = recorded(3, 4);
+    Path hidden = folder.resolve("hidden.pcap");
+    Map<String, Long> left = Anonymiser.run(file, hidden, "a secret of some length");
+    assertEquals(Map.of("messages", 24L), left);
+    String bytes = new String(Files.readAllBytes(hidden), StandardCharsets.ISO_8859_1);
+    assertFalse(bytes.contains("secret-") || bytes.contains("hush-") || bytes.contains("v-m"), "it shows");
+    List<Seen> before = scans(file);
+    List<Seen> after = scans(hidden);
+    assertEquals(before.size(), after.size());
+    for (int i = 0; i < after.size(); i++) {
+      assertEquals(before.get(i).mark(), after.get(i).mark());
+      assertEquals(before.get(i).fate(), after.get(i).fate());
+      for (int j = 0; j < after.size(); j++) {
+        assertEquals(before.get(i).text().equals(before.get(j).text()),
+            after.get(i).text().equals(after.get(j).text()));
+        assertEquals(before.get(i).key().equals(before.get(j).key()),
+            after.get(i).key().equals(after.get(j).key()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/traffic/src/test/java/gingerring/traffic/replay/PacerTest.java
@@ -0,0 +1,109 @@
+package gingerring.traffic.replay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** The pacer against a plain model: on each connection a step goes when it is due and the one before has ended. */
+class PacerTest {
+  private static Step step(int number, int lane, long dueMs) {
+    return new Step(number, lane, Duration.ofMillis(dueMs), null, null, 0, new byte[0]);
+  }
+
+  @Property(tries = 500, seed = "7") void sendsAsThePlainModelDoes(@ForAll long seed,
+      @ForAll @IntRange(min = 1, max = 40) int count, @ForAll @IntRange(min = 1, max = 6) int lanes) {
+    SplittableRandom random = new SplittableRandom(seed);
+    List<Step> steps = new ArrayList<>();
+    long due = 0;
+    Map<Integer, Integer> takes = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      due += random.nextInt(30);
+      steps.add(step(i, random.nextInt(lanes), due));
+      takes.put(i, 1 + random.nextInt(100));
+    }
+    // the model: by connection, in order
+    Map<Integer, Long> expected = new TreeMap<>();
+    Map<Integer, Long> free = new HashMap<>();
+    for (Step step : steps) {
+      long at = Math.max(step.due().toMillis(), free.getOrDefault(step.lane(), 0L));
+      expected.put(step.number(), at);
+      free.put(step.lane(), at + takes.get(step.number()));
+    }
+    // the pacer, driven by the moments at which something happens
+    Map<Integer, Long> sent = new TreeMap<>();
+    TreeMap<Long, List<Integer>> ends = new TreeMap<>();
+    long[] now = {0};
+    Pacer pacer = new Pacer(steps, lanes, Duration.ofMillis(5), true, step -> {
+      sent.put(step.number(), now[0]);
+      ends.computeIfAbsent(now[0] + takes.get(step.number()), t -> new ArrayList<>()).add(step.lane());
+    });
+    while (pacer.next() != null || !ends.isEmpty()) {
+      long next = Math.min(pacer.next() == null ? Long.MAX_VALUE : pacer.next().toMillis(),
+          ends.isEmpty() ? Long.MAX_VALUE : ends.firstKey());
+      now[0] = Math.max(now[0], next);
+      List<Integer> ended = ends.remove(now[0]);
+      if (ended != null) {
+        ended.forEach(lane -> pacer.ended(lane, Duration.ofMillis(now[0])));
+      }
+      pacer.turn(Duration.ofMillis(now[0]));
+    }
+    assertEquals(expected, sent);
+    assertEquals(0, pacer.waiting());
+    assertTrue(pacer.report().valid());
+    long held = steps.stream().filter(s -> sent.get(s.number()) - s.due().toMillis() > 1).count();
+    assertEquals(held, pacer.report().held());
+  }
+
+  /** Guards against a slow tool whose run looks like a slow mixer's. */
+  @Test void aSlowToolMakesTheRunInvalidAndASlowMixerDoesNot() {
+    List<Step> steps = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      steps.add(step(i, i, 10 * i));
+    }
+    Pacer slow = new Pacer(steps, 100, Duration.ofMillis(20), true, step -> {});
+    slow.turn(Duration.ofMillis(2000));
+    assertFalse(slow.report().valid());
+    assertTrue(slow.report().why().startsWith("the tool sent"), slow.report().why());
+
+    List<Step> one = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      one.add(step(i, 0, 10 * i));
+    }
+    Pacer held = new Pacer(one, 1, Duration.ofMillis(20), true, step -> {});
+    for (long now = 0; held.waiting() > 0; now += 50) { // every answer takes 50 ms
+      held.ended(0, Duration.ofMillis(now));
+      held.turn(Duration.ofMillis(now));
+    }
+    assertTrue(held.report().valid());
+    assertTrue(held.report().held() > 90);
+  }
+
+  @Test void aRetryMadeAnewGoesInItsTurn() {
+    List<Integer> sent = new ArrayList<>();
+    Pacer pacer = new Pacer(List.of(step(0, 0, 0), step(1, 0, 100), step(2, 0, 300)), 1, Duration.ofMillis(5),
+        true, step -> sent.add(step.number()));
+    pacer.turn(Duration.ZERO);
+    pacer.add(step(3, 0, 50));
+    assertNull(pacer.next()); // the connection is busy
+    pacer.ended(0, Duration.ofMillis(10));
+    assertEquals(Duration.ofMillis(50), pacer.next());
+    for (int ms = 50; ms <= 300; ms += 50) {
+      pacer.turn(Duration.ofMillis(ms));
+      pacer.ended(0, Duration.ofMillis(ms));
+    }
+    assertEquals(List.of(0, 3, 1, 2), sent);
+  }
+}
