--- /dev/null
+++ b/bench/src/main/java/gingerring/bench/LayoutBench.java
@@ -0,0 +1,64 @@
+package gingerring.bench;
+
+import gingerring.layout.BoxId;
+import gingerring.layout.Folio;
+import gingerring.layout.FolioId;
+import gingerring.layout.Layout;
+import gingerring.layout.Refused;
+import gingerring.layout.Slice;
+import gingerring.layout.Step;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What a look-up and a change of a layout cost, by its number of folios; with {@code -prof gc} also memory. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 2)
+@Fork(value = 1, jvmArgsAppend = "-Xmx3g")
+public class LayoutBench {
+  private static final long EACH = 1000;
+
+  @Param({"100", "10000", "1000000"}) private int folios;
+
+  private Layout layout;
+  private SplittableRandom random;
+  private List<BoxId> holders;
+
+  @Setup public void make() throws Refused {
+    random = new SplittableRandom(1);
+    holders = List.of(new BoxId("a"), new BoxId("b"), new BoxId("c"));
+    List<Folio> list = new ArrayList<>();
+    for (int i = 0; i < folios; i++) {
+      list.add(new Folio(new FolioId(i), List.of(new Slice(i * EACH, (i + 1) * EACH, 1)), holders));
+    }
+    layout = Layout.of(0, folios * EACH, list);
+  }
+
+  @Benchmark public FolioId lookup() {
+    return layout.owner(random.nextLong(folios * EACH));
+  }
+
+  /** A split of one folio into two: the next version, which shares the rest. */
+  @Benchmark public Layout split() throws Refused {
+    int which = random.nextInt(folios);
+    long from = which * EACH;
+    return layout.apply(new Step.Split(1, new FolioId(which), List.of(
+        new Folio(new FolioId(which), List.of(new Slice(from, from + 400, 0.4)), holders),
+        new Folio(new FolioId(folios), List.of(new Slice(from + 400, from + EACH, 0.6)), holders))));
+  }
+}
--- /dev/null
+++ b/layout/src/main/java/gingerring/layout/Layout.java
@@ -0,0 +1,288 @@
+package gingerring.layout;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.pcollections.HashPMap;
+import org.pcollections.HashTreePMap;
+import org.pcollections.TreePMap;
+
+/**
+ * One version of which folio holds which keys: immutable. Every key from 0 up to {@link #keys} has one owner. A
+ * step makes the next version, sharing all but what it changes: a change costs O(log n) time and memory for each
+ * folio that it names, and {@link #owner} O(log n).
+ */
+public final class Layout {
+  /** Folios and slices of a layout, at most. */
+  public static final int FOLIOS_MOST = 1 << 21;
+  private static final double ROUNDING = 1e-6;
+
+  /** What stands at a slice's first key. */
+  private record Place(Slice slice, FolioId folio) {}
+
+  private final long version;
+  private final long keys;
+  private final TreePMap<Long, Place> places;
+  private final HashPMap<FolioId, Folio> folios;
+
+  private Layout(long version, long keys, TreePMap<Long, Place> places, HashPMap<FolioId, Folio> folios) {
+    this.version = version;
+    this.keys = keys;
+    this.places = places;
+    this.folios = folios;
+  }
+
+  /** A whole list; refused unless every key from 0 up to {@code keys} has one owner. */
+  public static Layout of(long version, long keys, Collection<Folio> list) throws Refused {
+    if (version < 0 || keys <= 0) {
+      throw new Refused("version " + version + " of " + keys + " keys cannot be");
+    }
+    if (list.size() > FOLIOS_MOST) {
+      throw new Refused("more than " + FOLIOS_MOST + " folios");
+    }
+    HashPMap<FolioId, Folio> folios = HashTreePMap.empty();
+    List<Place> all = new ArrayList<>();
+    for (Folio folio : list) {
+      if (folios.containsKey(folio.id())) {
+        throw new Refused(folio.id() + " stands there twice");
+      }
+      check(folio);
+      folios = folios.plus(folio.id(), folio);
+      folio.slices().forEach(slice -> all.add(new Place(slice, folio.id())));
+    }
+    all.sort(Comparator.comparingLong(place -> place.slice.from()));
+    TreePMap<Long, Place> places = TreePMap.empty();
+    long at = 0;
+    for (Place place : all) {
+      if (place.slice.from() != at) {
+        throw new Refused(place.slice.from() > at
+            ? "keys " + at + " to " + place.slice.from() + " have no owner, before " + place.folio
+            : place.folio + ": keys " + place.slice.from() + " to " + at + " have two owners");
+      }
+      at = place.slice.to();
+      places = places.plus(place.slice.from(), place);
+    }
+    if (at != keys) {
+      throw new Refused("keys " + Math.min(at, keys) + " to " + Math.max(at, keys)
+          + (at < keys ? " have no owner" : " are beyond the last"));
+    }
+    return new Layout(version, keys, places, folios);
+  }
+
+  private static void check(Folio folio) throws Refused {
+    if (folio.slices().isEmpty()) {
+      throw new Refused(folio.id() + " has no keys");
+    }
+    for (int i = 1; i < folio.slices().size(); i++) {
+      if (folio.slices().get(i).from() < folio.slices().get(i - 1).to()) {
+        throw new Refused(folio.id() + ": its slices " + folio.slices().get(i - 1) + " and "
+            + folio.slices().get(i) + " are out of order or overlap");
+      }
+    }
+    if (folio.holders().isEmpty() || new HashSet<>(folio.holders()).size() != folio.holders().size()) {
+      throw new Refused(folio.id() + " has no holder, or one twice");
+    }
+    if ((folio.source() == null) != (folio.successor() == null) || folio.moving()
+        && (!folio.holders().contains(folio.source()) || folio.holders().contains(folio.successor()))) {
+      throw new Refused(folio.id() + " moves from no holder, or to one");
+    }
+  }
+
+  /** The next version; refused whole where a step does not fit this one. */
+  public Layout apply(Step step) throws Refused {
+    if (step.version() != version + 1) {
+      throw new Refused("step " + step.version() + " does not follow version " + version);
+    }
+    if (step instanceof Step.Split split) {
+      return split(split);
+    } else if (step instanceof Step.Merge merge) {
+      return merge(merge);
+    } else if (step instanceof Step.MoveBegins begins) {
+      Folio folio = still(step, begins.folio());
+      return with(step, new Folio(folio.id(), folio.slices(), folio.holders(), begins.source(),
+          begins.successor()));
+    } else if (step instanceof Step.MoveEnds ends) {
+      Folio folio = moving(step, ends.folio());
+      List<BoxId> holders = new ArrayList<>(folio.holders());
+      holders.set(holders.indexOf(folio.source()), folio.successor());
+      return with(step, new Folio(folio.id(), folio.slices(), holders));
+    }
+    Folio folio = moving(step, ((Step.MoveFails) step).folio());
+    return with(step, new Folio(folio.id(), folio.slices(), folio.holders()));
+  }
+
+  private Layout split(Step.Split split) throws Refused {
+    Folio from = still(split, split.from());
+    if (split.into().size() < 2) {
+      throw new Refused("step " + split.version() + ": a split of " + from.id() + " into fewer than two");
+    }
+    HashPMap<FolioId, Folio> next = folios.minus(from.id());
+    TreePMap<Long, Place> nextPlaces = places;
+    for (Slice slice : from.slices()) {
+      nextPlaces = nextPlaces.minus(slice.from());
+    }
+    List<Slice> all = new ArrayList<>();
+    for (Folio folio : split.into()) {
+      check(folio);
+      if (folio.moving()) {
+        throw new Refused("step " + split.version() + ": " + folio.id() + " moves before it is there");
+      }
+      // the old folio's number may go on with one of the new
+      if (next.containsKey(folio.id())) {
+        throw new Refused("step " + split.version() + ": " + folio.id() + " is there already");
+      }
+      next = next.plus(folio.id(), folio);
+      for (Slice slice : folio.slices()) {
+        nextPlaces = nextPlaces.plus(slice.from(), new Place(slice, folio.id()));
+        all.add(slice);
+      }
+    }
+    same(split, from, all);
+    return new Layout(split.version(), keys, nextPlaces, next);
+  }
+
+  /** The new slices cover the old ones' keys, each once, and weigh as much. */
+  private static void same(Step step, Folio from, List<Slice> into) throws Refused {
+    List<Slice> sorted = new ArrayList<>(into);
+    sorted.sort(Comparator.comparingLong(Slice::from));
+    int at = 0;
+    for (Slice old : from.slices()) {
+      long key = old.from();
+      while (key < old.to()) {
+        if (at == sorted.size() || sorted.get(at).from() != key) {
+          throw new Refused("step " + step.version() + ": of " + from.id() + "'s keys, " + key + " to "
+              + (at == sorted.size() ? old.to() : sorted.get(at).from()) + " would have no owner or two");
+        }
+        key = sorted.get(at++).to();
+      }
+      if (key != old.to()) {
+        throw new Refused("step " + step.version() + ": keys " + old.to() + " to " + key + " are not "
+            + from.id() + "'s");
+      }
+    }
+    if (at != sorted.size()) {
+      throw new Refused("step " + step.version() + ": keys " + sorted.get(at) + " are not " + from.id() + "'s");
+    }
+    double weight = into.stream().mapToDouble(Slice::weight).sum();
+    if (Math.abs(weight - from.weight()) > ROUNDING * from.weight()) {
+      throw new Refused("step " + step.version() + ": " + from.id() + " weighs " + from.weight()
+          + ", what it becomes " + weight);
+    }
+  }
+
+  private Layout merge(Step.Merge merge) throws Refused {
+    if (merge.from().size() < 2 || new HashSet<>(merge.from()).size() != merge.from().size()) {
+      throw new Refused("step " + merge.version() + ": a merge of fewer than two folios, or of one twice");
+    }
+    HashPMap<FolioId, Folio> next = folios;
+    List<Slice> slices = new ArrayList<>();
+    for (FolioId id : merge.from()) {
+      slices.addAll(still(merge, id).slices());
+      next = next.minus(id);
+    }
+    slices.sort(Comparator.comparingLong(Slice::from));
+    if (next.containsKey(merge.into())) {
+      throw new Refused("step " + merge.version() + ": " + merge.into() + " is there already");
+    }
+    Folio folio = new Folio(merge.into(), slices, merge.holders());
+    check(folio);
+    TreePMap<Long, Place> nextPlaces = places;
+    for (Slice slice : slices) {
+      nextPlaces = nextPlaces.plus(slice.from(), new Place(slice, folio.id()));
+    }
+    return new Layout(merge.version(), keys, nextPlaces, next.plus(folio.id(), folio));
+  }
+
+  private Layout with(Step step, Folio folio) throws Refused {
+    check(folio);
+    return new Layout(step.version(), keys, places, folios.plus(folio.id(), folio));
+  }
+
+  private Folio there(Step step, FolioId id) throws Refused {
+    Folio folio = folios.get(id);
+    if (folio == null) {
+      throw new Refused("step " + step.version() + ": there is no " + id);
+    }
+    return folio;
+  }
+
+  private Folio still(Step step, FolioId id) throws Refused {
+    Folio folio = there(step, id);
+    if (folio.moving()) {
+      throw new Refused("step " + step.version() + ": " + id + " is moving");
+    }
+    return folio;
+  }
+
+  private Folio moving(Step step, FolioId id) throws Refused {
+    Folio folio = there(step, id);
+    if (!folio.moving()) {
+      throw new Refused("step " + step.version() + ": " + id + " is not moving");
+    }
+    return folio;
+  }
+
+  public long version() {
+    return version;
+  }
+
+  /** Keys are from 0 up to, but not, this. */
+  public long keys() {
+    return keys;
+  }
+
+  public int size() {
+    return folios.size();
+  }
+
+  public Optional<Folio> folio(FolioId id) {
+    return Optional.ofNullable(folios.get(id));
+  }
+
+  public Collection<Folio> folios() {
+    return folios.values();
+  }
+
+  /** The folio that holds a key. */
+  public FolioId owner(long key) {
+    if (key < 0 || key >= keys) {
+      throw new IllegalArgumentException("key " + key + " is not one of " + keys);
+    }
+    return places.floorEntry(key).getValue().folio;
+  }
+
+  /** The slices that a range of keys meets, in order, cut to it, each with its folio. */
+  public List<Map.Entry<Slice, FolioId>> over(long from, long to) {
+    List<Map.Entry<Slice, FolioId>> met = new ArrayList<>();
+    Map.Entry<Long, Place> first = places.floorEntry(Math.max(0, from));
+    if (first == null || to <= from) {
+      return met;
+    }
+    Place place = first.getValue();
+    for (long at = from; place != null && place.slice.from() < to;) {
+      if (place.slice.to() > at) {
+        met.add(Map.entry(place.slice.within(from, to), place.folio));
+      }
+      at = place.slice.to();
+      place = places.get(at);
+    }
+    return met;
+  }
+
+  /** Boxes that hold anything, or are to. */
+  public Set<BoxId> boxes() {
+    Set<BoxId> boxes = new HashSet<>();
+    for (Folio folio : folios.values()) {
+      boxes.addAll(folio.holders());
+      if (folio.moving()) {
+        boxes.add(folio.successor());
+      }
+    }
+    return boxes;
+  }
+}
--- /dev/null
+++ b/layout/src/main/java/gingerring/layout/Step.java
@@ -0,0 +1,32 @@
+package gingerring.layout;
+
+import java.util.List;
+
+/** One change of a layout: it makes {@link #version} out of the version before. */
+public sealed interface Step {
+  long version();
+
+  /** One folio becomes several, which together have its keys. */
+  record Split(long version, FolioId from, List<Folio> into) implements Step {
+    public Split {
+      into = List.copyOf(into);
+    }
+  }
+
+  /** Several folios become one, which has their keys and these holders. */
+  record Merge(long version, List<FolioId> from, FolioId into, List<BoxId> holders) implements Step {
+    public Merge {
+      from = List.copyOf(from);
+      holders = List.copyOf(holders);
+    }
+  }
+
+  /** A holder's copy begins to move to a box that is none: until it has, the holder goes on. */
+  record MoveBegins(long version, FolioId folio, BoxId source, BoxId successor) implements Step {}
+
+  /** The successor holds the folio now, and the source does not. */
+  record MoveEnds(long version, FolioId folio) implements Step {}
+
+  /** A move was given up: the holders stay as they are. */
+  record MoveFails(long version, FolioId folio) implements Step {}
+}
