--- a/emulator/src/main/java/gingerring/emulator/run/Clients.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Clients.java
@@ -5,15 +5,13 @@
 import gingerring.emulator.core.Script.Wish;
 import gingerring.emulator.core.World;
 import gingerring.http.Head;
-import gingerring.http.HttpParser;
 import gingerring.http.Malformed;
-import gingerring.net.ByteRing;
 import gingerring.traffic.replay.Retries;
 import gingerring.traffic.scan.Answer;
 import gingerring.traffic.scan.Seen;
+import gingerring.traffic.wire.HttpOwner;
 import gingerring.traffic.wire.Reactor;
 import gingerring.traffic.wire.Wire;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -111,20 +109,15 @@
   }
 
   /** One connection, a request at a time. */
-  private final class Client implements Wire.Owner, HttpParser.Sink {
-    private static final int PIECE = 1 << 13;
-
+  private final class Client extends HttpOwner {
     private final int who;
     private final Wire wire;
-    private final ByteRing ring = new ByteRing(PIECE, 2 * PIECE);
-    private final HttpParser parser = new HttpParser(false, 1 << 20, this);
-    private Head head;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Try now;
     private String mark;
     private boolean gone;
 
     Client(int who) {
+      super(false, 1 << 20);
       this.who = who;
       connections++;
       wire = reactor.dial(mixer, this);
@@ -153,44 +146,21 @@
       });
     }
 
-    @Override public void bytes(byte[] bytes, int length) {
-      try {
-        for (int at = 0; at < length && !wire.closed();) {
-          int count = Math.min(length - at, PIECE);
-          ring.put(bytes, at, count);
-          at += count;
-          while (ring.size() > 0 && parser.read(ring)) {
-            // one message at a time
-          }
-        }
-      } catch (Malformed e) {
-        wire.reset();
-      }
-    }
-
-    @Override public void head(Head read) {
-      head = read;
-    }
-
-    @Override public void body(byte[] bytes, int length) {
-      body.write(bytes, 0, length);
+    @Override protected void malformed(Malformed e) {
+      wire.reset();
     }
 
-    @Override public void end() {
-      Head whole = head;
-      byte[] json = body.toByteArray();
-      head = null;
-      body = new ByteArrayOutputStream();
+    @Override protected void message(Head head, byte[] json) {
       Try ended = now;
       if (ended == null) {
         return;
       }
       now = null;
-      Answer answer = Answer.read(whole, json);
+      Answer answer = Answer.read(head, json);
       boolean served = answer.fate() == Seen.Fate.WHOLE || answer.fate() == Seen.Fate.PART;
       referee.answered(mark, reactor.now(), answer.fate() == Seen.Fate.NACKED, answer.whole(),
           served ? answer.values() : null);
-      if (whole.says("connection", "close")) {
+      if (head.says("connection", "close")) {
         leave();
         wire.close();
       } else {
--- a/emulator/src/main/java/gingerring/emulator/run/RandomRouter.java
+++ b/emulator/src/main/java/gingerring/emulator/run/RandomRouter.java
@@ -3,12 +3,11 @@
 import gingerring.emulator.core.World;
 import gingerring.emulator.core.World.Grade;
 import gingerring.http.Head;
-import gingerring.http.HttpParser;
 import gingerring.http.HttpWriter;
 import gingerring.http.Malformed;
 import gingerring.json.Fields;
 import gingerring.json.Json;
-import gingerring.net.ByteRing;
+import gingerring.traffic.wire.HttpOwner;
 import gingerring.traffic.wire.Reactor;
 import gingerring.traffic.wire.Wire;
 import java.io.ByteArrayOutputStream;
@@ -106,14 +105,11 @@
   }
 
   /** A client's connection. */
-  private final class Asker implements Wire.Owner, HttpParser.Sink {
+  private final class Asker extends HttpOwner {
     private final Wire wire;
-    private final ByteRing ring = new ByteRing(1 << 13, 1 << 17);
-    private final HttpParser parser = new HttpParser(true, 1 << 16, this);
-    private Head head;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
 
     Asker(Wire wire) {
+      super(true, 1 << 16);
       this.wire = wire;
     }
 
@@ -121,28 +117,11 @@
       wire.put(answer);
     }
 
-    @Override public void bytes(byte[] bytes, int length) {
-      try {
-        ring.put(bytes, 0, length);
-        while (ring.size() > 0 && parser.read(ring)) {
-          // another request may follow
-        }
-      } catch (Malformed e) {
-        wire.reset();
-      }
-    }
-
-    @Override public void head(Head read) {
-      head = read;
-    }
-
-    @Override public void body(byte[] bytes, int length) {
-      body.write(bytes, 0, length);
+    @Override protected void malformed(Malformed e) {
+      wire.reset();
     }
 
-    @Override public void end() throws Malformed {
-      byte[] json = body.toByteArray();
-      body = new ByteArrayOutputStream();
+    @Override protected void message(Head head, byte[] json) throws Malformed {
       try {
         Map<String, Object> asked = Fields.object(Json.read(json), "the body");
         Scan scan = new Scan(this, head.header("X-Txn"), world.grade(head.header("X-Lane")));
--- a/traffic/src/main/java/gingerring/traffic/replay/Replayer.java
+++ b/traffic/src/main/java/gingerring/traffic/replay/Replayer.java
@@ -1,15 +1,13 @@
 package gingerring.traffic.replay;
 
 import gingerring.http.Head;
-import gingerring.http.HttpParser;
 import gingerring.http.Malformed;
-import gingerring.net.ByteRing;
 import gingerring.traffic.scan.Answer;
 import gingerring.traffic.scan.Seen;
 import gingerring.traffic.scan.Seen.Fate;
+import gingerring.traffic.wire.HttpOwner;
 import gingerring.traffic.wire.Reactor;
 import gingerring.traffic.wire.Wire;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -33,7 +31,6 @@
   private static final Duration SLACK = Duration.ofMillis(50);
   private static final Duration LEAD = Duration.ofMillis(100);
   private static final int ANSWER_MOST = 1 << 20;
-  private static final int PIECE = 1 << 13;
 
   private final Wish wish;
   private final Plan plan;
@@ -204,16 +201,13 @@
   }
 
   /** A connection of a lane, as long as it lasts. */
-  private final class Call implements Wire.Owner, HttpParser.Sink {
+  private final class Call extends HttpOwner {
     private final Lane lane;
     private final Wire wire;
-    private final ByteRing ring = new ByteRing(PIECE, 2 * PIECE);
-    private final HttpParser parser = new HttpParser(false, ANSWER_MOST, this);
-    private Head head;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private boolean asked;
 
     Call(Lane lane) {
+      super(false, ANSWER_MOST);
       this.lane = lane;
       wire = reactor.dial(wish.to, this);
     }
@@ -223,41 +217,16 @@
       wire.put(request);
     }
 
-    @Override public void bytes(byte[] bytes, int length) {
-      try {
-        for (int at = 0; at < length && !wire.closed();) {
-          int count = Math.min(length - at, PIECE);
-          ring.put(bytes, at, count);
-          at += count;
-          while (ring.size() > 0 && parser.read(ring)) {
-            // another message may follow
-          }
-        }
-      } catch (Malformed e) {
-        lane.answered(this, new Answer(Fate.SCRAPPED, 0, false, Map.of(), Duration.ZERO, e.getMessage()), true);
-      }
-    }
-
-    @Override public void head(Head read) {
-      head = read;
+    @Override protected void message(Head head, byte[] body) {
+      lane.answered(this, Answer.read(head, body), head.says("connection", "close"));
     }
 
-    @Override public void body(byte[] bytes, int length) {
-      body.write(bytes, 0, length);
-    }
-
-    @Override public void end() {
-      Head whole = head;
-      byte[] json = body.toByteArray();
-      head = null;
-      body = new ByteArrayOutputStream();
-      if (!whole.second().startsWith("1")) { // 100 Continue is no answer yet
-        lane.answered(this, Answer.read(whole, json), whole.says("connection", "close"));
-      }
+    @Override protected void malformed(Malformed e) {
+      lane.answered(this, new Answer(Fate.SCRAPPED, 0, false, Map.of(), Duration.ZERO, e.getMessage()), true);
     }
 
     @Override public void closed() {
-      lane.lost(this, head != null || parser.midway());
+      lane.lost(this, midway());
     }
   }
 }
