--- /dev/null
+++ b/traffic/src/test/java/gingerring/traffic/scan/TalkTest.java
@@ -0,0 +1,115 @@
+package gingerring.traffic.scan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gingerring.traffic.Talks;
+import gingerring.traffic.Talks.Piece;
+import gingerring.traffic.record.Forge;
+import gingerring.traffic.scan.Seen.Fate;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What clients, mixers and boxes may say on a connection. */
+class TalkTest {
+  private final List<Piece> pieces = new ArrayList<>();
+  private final Forge.Out out = (nanos, bytes, length) ->
+      pieces.add(new Piece(nanos, Arrays.copyOf(bytes, length)));
+  private final Forge forge = new Forge(Talks.client(4000), Talks.mixer(), 3);
+  private long now = Talks.START;
+
+  private void say(int side, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+    forge.data(now += 1_000_000, side, bytes, 0, bytes.length, out);
+  }
+
+  private List<Seen> read(boolean closes) {
+    if (closes) {
+      forge.close(now += 1_000_000, false, 0, out);
+    }
+    return Talks.read(pieces);
+  }
+
+  private static List<String> marks(List<Seen> scans) {
+    return scans.stream().map(seen -> seen.mark() + ' ' + seen.fate() + ' ' + seen.values().get(0)).toList();
+  }
+
+  @Test void pipelinedRequestsHaveTheirAnswersInOrder() {
+    forge.open(now, out);
+    String three = Talks.request("a", "x", "") + Talks.request("b", "x", "") + Talks.request("c", "x", "");
+    say(0, three.substring(0, 300));
+    say(0, three.substring(300));
+    say(1, Talks.answer("a") + Talks.answer("b").substring(0, 20));
+    say(1, Talks.answer("b").substring(20) + Talks.answer(503, "Retry-After: 0.25\r\n", ""));
+    List<Seen> scans = read(true);
+    assertEquals(List.of("a WHOLE v-a", "b WHOLE v-b", "c NACKED null"), marks(scans));
+    assertEquals(0.25, scans.get(2).comeBack());
+  }
+
+  @Test void chunksAndContinueAndOtherPathsAreUnderstood() {
+    forge.open(now, out);
+    String body = Talks.body("x");
+    say(0, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    say(1, "HTTP/1.1 204 None\r\n\r\n");
+    say(0, "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n");
+    say(1, "HTTP/1.1 100 Continue\r\n\r\n");
+    say(0, "5\r\n" + body.substring(0, 5) + "\r\n" + Integer.toHexString(body.length() - 5) + "\r\n"
+        + body.substring(5) + "\r\n0\r\n\r\n");
+    say(1, Talks.answer("a"));
+    List<Seen> scans = read(true);
+    assertEquals(List.of("a WHOLE v-a"), marks(scans));
+    String again = new String(scans.get(0).request(), StandardCharsets.ISO_8859_1);
+    assertTrue(again.endsWith("content-length: " + body.length() + "\r\n\r\n" + body), again);
+  }
+
+  @Test void aClientThatClosedItsSendingSideStillHasItsAnswer() {
+    forge.open(now, out);
+    say(0, Talks.request("a", "x", ""));
+    List<Piece> before = List.copyOf(pieces);
+    forge.close(now, false, 0, out);
+    Piece fin = pieces.get(before.size());
+    pieces.subList(before.size(), pieces.size()).clear();
+    pieces.add(fin);
+    Forge after = new Forge(Talks.client(4000), Talks.mixer(), 3);
+    after.open(now, (nanos, bytes, length) -> {});
+    byte[] answer = Talks.answer("a").getBytes(StandardCharsets.US_ASCII);
+    after.data(now += 1_000_000, 1, answer, 0, answer.length, out);
+    assertEquals(List.of("a WHOLE v-a"), marks(Talks.read(pieces)));
+  }
+
+  @Test void aClientThatLeavesIsToldFromAFileThatEnds() {
+    forge.open(now, out);
+    say(0, Talks.request("a", "x", ""));
+    assertEquals(Fate.INCOMPLETE, read(false).get(0).fate());
+    assertEquals(Fate.LEFT, read(true).get(0).fate());
+  }
+
+  private static String frame(String text) {
+    return new String(ByteBuffer.allocate(4 + text.length()).order(ByteOrder.LITTLE_ENDIAN).putInt(text.length())
+        .put(text.getBytes(StandardCharsets.ISO_8859_1)).array(), StandardCharsets.ISO_8859_1);
+  }
+
+  @Test void framesOfBoxesAreMatchedByTheirParts() throws Exception {
+    forge.open(now, out);
+    say(0, frame("Sa.0 0 d=100 2\nxya.3 3 d=100,k=k1 0\n") + frame("H").substring(0, 3));
+    say(0, frame("H").substring(3));
+    say(1, frame("Hdone") + frame("Ra.3 full 0 -\n"));
+    say(0, frame("Ca.0"));
+    say(1, frame("Rb.0 done 1 -\nv"));
+    forge.close(now, false, 0, out);
+    Trips trips = Talks.read(Talks.pcap(pieces), new ArrayList<>()).trips();
+    assertEquals(2, trips.parts);
+    assertEquals(1, trips.calls);
+    assertEquals(1, trips.probes);
+    assertEquals(1, trips.recalls);
+    assertEquals(1, trips.unanswered);
+    assertEquals(Map.of("full", 1L, "done", 1L), trips.ends);
+    assertEquals(Map.of("127.0.0.2:8081", 2L), trips.bySearcher);
+  }
+}
