--- a/emulator/src/main/java/gingerring/emulator/run/MixerProcess.java
+++ b/emulator/src/main/java/gingerring/emulator/run/MixerProcess.java
@@ -67,6 +67,7 @@
     command.addAll(record == null ? List.of("gingerring.Main", "serve")
         : List.of("gingerring.cli.Gingerring", "serve", "--record", record.toString()));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().remove("GINGERRING_LOG"); // its lines are read here as plain ones
     builder.environment().put("LB_CONFIG", config.toString());
     MixerProcess mixer = new MixerProcess(builder.start(), config);
     try {
