--- a/cli/src/main/java/gingerring/cli/Gingerring.java
+++ b/cli/src/main/java/gingerring/cli/Gingerring.java
@@ -16,7 +16,7 @@
 @Command(name = "gingerring", mixinStandardHelpOptions = true, version = "gingerring 0.2.0-SNAPSHOT",
     description = "A query router in front of a sharded, replicated store.",
     subcommands = {ServeCommand.class, DemoCommand.class, ExperimentCommand.class, EmulateCommand.class,
-        PcapCommand.class, ReplayCommand.class, AutoComplete.GenerateCompletion.class,
+        PcapCommand.class, ReplayCommand.class, LayoutCommand.class, AutoComplete.GenerateCompletion.class,
         CommandLine.HelpCommand.class},
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:done", "1:it could not be done: a file, an address, a run that failed",
--- /dev/null
+++ b/cli/src/main/java/gingerring/cli/LayoutFile.java
@@ -0,0 +1,66 @@
+package gingerring.cli;
+
+import gingerring.json.Fields;
+import gingerring.json.Json;
+import gingerring.layout.BoxId;
+import gingerring.layout.Folio;
+import gingerring.layout.FolioId;
+import gingerring.layout.Layout;
+import gingerring.layout.Refused;
+import gingerring.layout.Slice;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Layouts in files, as JSON: {@code version}, {@code keys}, and {@code folios} with {@code id}, {@code slices} (first
+ * key, the key after the last, weight), {@code holders}, and while it moves {@code source} and {@code successor}.
+ */
+final class LayoutFile {
+  private LayoutFile() {}
+
+  static Layout read(Path file) throws IOException {
+    byte[] json = Files.readAllBytes(file);
+    String place = "";
+    try {
+      Map<String, Object> object = Fields.object(Json.read(json), "the layout");
+      List<Folio> folios = new ArrayList<>();
+      for (Object each : Fields.list(object, "folios")) {
+        place = "folios." + folios.size() + ": ";
+        folios.add(folio(Fields.object(each, "it")));
+      }
+      place = "";
+      return Layout.of(Fields.whole(object, "version"), Fields.whole(object, "keys"), folios);
+    } catch (Json.Malformed | Refused | IllegalArgumentException e) {
+      throw new IOException(file + ": " + place + e.getMessage());
+    }
+  }
+
+  private static Folio folio(Map<String, Object> from) throws Json.Malformed {
+    List<Slice> slices = new ArrayList<>();
+    for (Object each : Fields.list(from, "slices")) {
+      if (!(each instanceof List<?> slice) || slice.size() != 3 || !(slice.get(0) instanceof Double low)
+          || !(slice.get(1) instanceof Double high) || !(slice.get(2) instanceof Double weight)
+          || low != Math.rint(low) || high != Math.rint(high)) {
+        throw new Json.Malformed("a slice is its first key, the key after its last, and its weight");
+      }
+      slices.add(new Slice(low.longValue(), high.longValue(), weight));
+    }
+    List<BoxId> holders = new ArrayList<>();
+    for (Object each : Fields.list(from, "holders")) {
+      if (!(each instanceof String name) || name.isEmpty()) {
+        throw new Json.Malformed("a holder is a name");
+      }
+      holders.add(new BoxId(name));
+    }
+    return new Folio(new FolioId((int) Fields.whole(from, "id")), slices, holders, box(from, "source"),
+        box(from, "successor"));
+  }
+
+  private static BoxId box(Map<String, Object> from, String name) throws Json.Malformed {
+    return from.containsKey(name) ? new BoxId(Fields.text(from, name)) : null;
+  }
+}
--- a/cli/src/test/java/gingerring/cli/GingerringTest.java
+++ b/cli/src/test/java/gingerring/cli/GingerringTest.java
@@ -99,6 +99,29 @@
     assertTrue(random.referee().counts().containsKey(Referee.Rule.DRAIN), random.referee().counts().toString());
   }
 
+  @Test void layoutsAreComparedAndPlanned() throws Exception {
+    Path before = Path.of("example/layouts/before.json");
+    Path after = Path.of("example/layouts/after.json");
+    assertEquals(0, gingerring("layout", "check", before), err);
+    assertEquals(0, gingerring("layout", "show", before), err);
+    assertTrue(out.contains("box box-a: 2 folios, weight 1.5"), out);
+    assertEquals(0, gingerring("layout", "diff", before, before), err);
+    assertEquals(3, gingerring("layout", "diff", before, after), err);
+    assertEquals(0, gingerring("layout", "plan", before, after, "--at-once", 1), err);
+    assertTrue(out.contains("8: split folio 0 into folio 0 [[0, 600)], folio 4 [[600, 1000)]"), out);
+    assertTrue(out.contains("merge [folio 1, folio 4] into folio 3 at [box-b, box-c, box-d]"), out);
+    assertEquals(0, gingerring("layout", "plan", after, before), err);
+    assertTrue(out.contains("merge [folio 0, folio 4] into folio 0"), out);
+    Path hole = folder.resolve("hole.json");
+    Files.writeString(hole, Files.readString(before).replace("[1000, 2000, 1.5]", "[1100, 2000, 1.5]"));
+    assertEquals(1, gingerring("layout", "check", hole));
+    assertEquals("gingerring layout check: " + hole + ": keys 1000 to 1100 have no owner, before folio 1",
+        err.strip());
+    Files.writeString(hole, Files.readString(before).replace("\"box-b\", ", "7, "));
+    assertEquals(1, gingerring("layout", "show", hole));
+    assertEquals("gingerring layout show: " + hole + ": folios.0: a holder is a name", err.strip());
+  }
+
   @Test void badInputIsOnePlainLine() throws Exception {
     Path junk = folder.resolve("junk.pcap");
     Files.writeString(junk, "this is no capture file");
