Forget recorded connections whose end was dropped

Cause: with the queue full, the end of a connection could be dropped, and its forge and hole were kept for good. Change: the writer forgets them once all that came before has been taken. Measured: 200 connections whose ends were dropped leave nothing; the test fails without the change.

--- a/traffic/src/main/java/gingerring/traffic/record/Recorder.java
+++ b/traffic/src/main/java/gingerring/traffic/record/Recorder.java
@@ -13,7 +13,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -49,6 +51,8 @@
   private final AtomicLong dropped = new AtomicLong();
   /** Bytes dropped since the last that were queued, by connection and side. */
   private final Map<Long, long[]> holes = new HashMap<>();
+  /** Connections whose end was dropped; under the holes' lock. */
+  private final Set<Long> gone = new HashSet<>();
   private final Map<Long, Forge> forges = new HashMap<>();
   private final Deque<Path> files = new ArrayDeque<>();
   private final Thread writer;
@@ -90,6 +94,13 @@
     return queue.size();
   }
 
+  /** Connections that something is kept for. */
+  int kept() {
+    synchronized (holes) {
+      return Math.max(forges.size(), holes.size());
+    }
+  }
+
   // ---- the mixer's threads ----
 
   @Override public void opened(long connection, InetSocketAddress opener, InetSocketAddress listener) {
@@ -119,6 +130,13 @@
       queued.addAndGet(-size);
       dropped.incrementAndGet();
       synchronized (holes) {
+        if (event.what == What.CLOSED) {
+          // nothing follows that could carry the hole, or end the forge
+          holes.remove(event.connection);
+          gone.add(event.connection);
+          holed = true;
+          return;
+        }
         long[] hole = holes.computeIfAbsent(event.connection, c -> new long[2]);
         hole[event.side] += size;
         if (event.hole != null) {
@@ -137,7 +155,7 @@
     }
     synchronized (holes) {
       long[] hole = holes.remove(connection);
-      holed = !holes.isEmpty();
+      holed = !holes.isEmpty() || !gone.isEmpty();
       return hole;
     }
   }
@@ -151,6 +169,12 @@
         if (event != null) {
           take(event);
         }
+        if (holed && queue.isEmpty()) { // whatever came before an end that was dropped has been taken
+          synchronized (holes) {
+            gone.forEach(forges::remove);
+            gone.clear();
+          }
+        }
       }
       out.drops(now(), dropped.get() - marked);
       out.close();
--- a/traffic/src/test/java/gingerring/traffic/record/RecorderTest.java
+++ b/traffic/src/test/java/gingerring/traffic/record/RecorderTest.java
@@ -114,6 +114,25 @@
     assertFalse(whole.contains("m1.25"));
   }
 
+  /** Guards against connections whose end was dropped and that would be kept for good. */
+  @Test void connectionsWhoseEndWasDroppedAreForgotten() throws Exception {
+    Recorder recorder = new Recorder(folder.resolve("gone.pcapng"), ONE, 1, 40);
+    for (int i = 0; i < 200; i++) {
+      recorder.opened(i, Talks.client(4001 + i), Talks.mixer());
+    }
+    for (int i = 0; i < 200; i++) {
+      recorder.closed(i, 0);
+    }
+    recorder.start();
+    for (int i = 0; i < 200 && recorder.queued() > 0; i++) {
+      Thread.sleep(10);
+    }
+    recorder.opened(1000, Talks.client(9000), Talks.mixer());
+    recorder.closed(1000, 0);
+    recorder.close();
+    assertEquals(0, recorder.kept());
+  }
+
   @Test void filesRotateAndTheEldestGoes() throws Exception {
     Path file = folder.resolve("rot.pcap");
     try (Recorder recorder = new Recorder(file, new Recorder.Rotation(4000, Duration.ofHours(1), 3), 1).start()) {
