--- a/emulator/src/main/java/gingerring/emulator/core/Box.java
+++ b/emulator/src/main/java/gingerring/emulator/core/Box.java
@@ -6,7 +6,6 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -258,8 +257,4 @@
     }
     return null;
   }
-
-  public List<Trouble> troubles() {
-    return List.copyOf(troubles);
-  }
 }
