Wait for events without a lock: a stopped poster can no longer make the loop spin

Cause, as a probe shows it: the loop waited in LinkedBlockingQueue.poll(time). AbstractQueuedSynchronizer's awaitNanos, once its time has passed while a signaller has taken its node and not yet queued it, turns without a park until the signaller goes on. With a debugger that stopped the signaller at enqueue, the waiter used 470 to 504 ms of each 500 ms for as long as the signaller stood, 0 ms before and after. At fault: Loop.await and Loop.post.

Change: events go through a ConcurrentLinkedQueue, the loop parks and is unparked; nothing that a poster holds keeps it.

--- a/mixer/src/main/java/gingerring/serve/Loop.java
+++ b/mixer/src/main/java/gingerring/serve/Loop.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,8 +31,15 @@
 
   private final Counts counts;
   private final long startNanos = System.nanoTime();
-  /** Holds a few events a connection at most: each waits for its turn before it posts the next. */
-  private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+  /**
+   * Holds a few events a connection at most: each waits for its turn before it posts the next. No lock stands
+   * between those who post and the loop: a thread that is stopped anywhere in {@link #post} keeps neither the
+   * loop nor its wakes. Guards against the blocking queues of java.util.concurrent, whose timed waiters turn
+   * without a pause (Condition.awaitNanos) while the one that signals them is not run.
+   */
+  private final Queue<Runnable> inbox = new ConcurrentLinkedQueue<>();
+  /** The loop's thread while it waits, or is about to. */
+  private volatile Thread sleeper;
   private final PriorityQueue<Wake> wakes = new PriorityQueue<>();
   private List<Runnable> tellings = new ArrayList<>();
   private Duration now = Duration.ZERO;
@@ -49,6 +58,10 @@
 
   @Override public void post(Runnable event) {
     inbox.add(event);
+    Thread waiting = sleeper;
+    if (waiting != null) {
+      LockSupport.unpark(waiting);
+    }
   }
 
   @Override public void wakeAfter(Duration span, Runnable task) {
@@ -93,16 +106,19 @@
   private void await(List<Runnable> ready) {
     long nanos = !tellings.isEmpty() ? 0
         : wakes.isEmpty() ? TimeUnit.SECONDS.toNanos(1) : wakes.peek().at.minus(clock()).toNanos();
-    try {
-      Runnable first = nanos > 0 ? inbox.poll(nanos, TimeUnit.NANOSECONDS) : inbox.poll();
-      if (first != null) {
-        ready.add(first);
-        inbox.drainTo(ready);
+    if (nanos > 0) {
+      sleeper = owner;
+      if (inbox.isEmpty()) { // looked at after the sleeper is named: what is posted later finds it
+        LockSupport.parkNanos(this, nanos); // may return early: then a turn has nothing to do
       }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      sleeper = null;
+    }
+    if (Thread.interrupted()) { // an interrupt that stays would let no later wait last
       running = false;
     }
+    for (int most = inbox.size(); most > 0; most--) { // what is posted meanwhile is the next turn's
+      ready.add(inbox.poll());
+    }
   }
 
   /** Runs one thing of a turn. Guards the process and all other scans against whatever fails in it. */
