Say so at start where SIGHUP is ignored and no reload can come

Ruled out: the watch itself (it tried the old address until the end, 9 to 14 failures counted). So this is no fault of the decisions or of the watch; at fault is Serve.run, which took a handler that was never installed for one that was.

--- a/mixer/src/main/java/gingerring/serve/Serve.java
+++ b/mixer/src/main/java/gingerring/serve/Serve.java
@@ -16,6 +16,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Starts a real mixer, runs it in the foreground, and ends it at SIGTERM. */
 public final class Serve {
@@ -62,7 +63,10 @@
   public static int run(Map<String, String> env, PrintStream complaints, Tap tap) {
     Serve serve = new Serve(env, tap);
     // before anything is read: untended, SIGHUP ends a process, and one that comes early is not to be lost
-    Signal.handle(new Signal("HUP"), signal -> serve.reload());
+    SignalHandler before = Signal.handle(new Signal("HUP"), signal -> serve.reload());
+    if (before == SignalHandler.SIG_IGN) { // the virtual machine leaves a signal that it was started without
+      LOG.warn("SIGHUP is ignored, as whoever started this process wanted (nohup?): there is no reload");
+    }
     try {
       return serve.serve(Orders.read(env), complaints);
     } catch (Orders.Unfit | IllegalArgumentException e) {
--- a/mixer/src/test/java/gingerring/serve/ServeTest.java
+++ b/mixer/src/test/java/gingerring/serve/ServeTest.java
@@ -78,11 +78,13 @@
   private Path file;
   private int port;
 
-  private Child mixer(String config) throws IOException {
+  private Child mixer(String config, String... through) throws IOException {
     file = folder.resolve("config-" + children.size() + ".json");
     Files.writeString(file, config);
-    return start(List.of(java(), "-ea", "-cp", System.getProperty("java.class.path"), "gingerring.Main",
-        "serve"), file);
+    List<String> command = new ArrayList<>(List.of(through));
+    command.addAll(List.of(java(), "-ea", "-cp", System.getProperty("java.class.path"), "gingerring.Main",
+        "serve"));
+    return start(command, file);
   }
 
   private String config() throws IOException, InterruptedException {
@@ -421,6 +423,14 @@
     assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + mixer.process.pid()).start().waitFor());
   }
 
+  /** Guards against a fleet that misses a new configuration, and nobody knows why: started by nohup, say. */
+  @Test void saysThatItCannotBeTold() throws Exception {
+    mixer = mixer(config(), "/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+    mixer.line("SIGHUP is ignored");
+    port = port(mixer);
+    assertEquals(200, send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status);
+  }
+
   /** Guards against a SIGHUP that ends the process, and against one that costs the list or a scan. */
   @Test void followsDiscoveryToTheAddressOfANewConfiguration() throws Exception {
     String first = config().replace("600.0", "1800.0");
