--- a/emulator/src/main/java/gingerring/emulator/run/Charts.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Charts.java
@@ -21,6 +21,12 @@
   /** Each series by second; all are of emulated boxes, which the title says. */
   public static void lines(Path file, String title, String what, Map<String, Map<Integer, Double>> series)
       throws IOException {
+    lines(file, title + " (emulated boxes)", "second", what, series);
+  }
+
+  /** Each series by whatever the points are counted by; the title has to say what the figures are of. */
+  public static void lines(Path file, String title, String by, String what, Map<String, Map<Integer, Double>> series)
+      throws IOException {
     System.setProperty("java.awt.headless", "true");
     XYSeriesCollection all = new XYSeriesCollection();
     series.forEach((name, points) -> {
@@ -28,7 +34,7 @@
       points.forEach(line::add);
       all.addSeries(line);
     });
-    JFreeChart chart = ChartFactory.createXYLineChart(title + " (emulated boxes)", "second", what, all);
+    JFreeChart chart = ChartFactory.createXYLineChart(title, by, what, all);
     if (file.toAbsolutePath().getParent() != null) {
       Files.createDirectories(file.toAbsolutePath().getParent());
     }
