--- a/emulator/src/main/java/gingerring/emulator/fleet/Probes.java
+++ b/emulator/src/main/java/gingerring/emulator/fleet/Probes.java
@@ -1,6 +1,7 @@
 package gingerring.emulator.fleet;
 
 import gingerring.share.MixerId;
+import gingerring.share.Rota;
 import gingerring.share.Turns;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -37,8 +38,7 @@
   private final Agenda agenda = new Agenda();
   private final SplittableRandom chance;
   private final List<MixerId> members = new ArrayList<>();
-  /** By mixer: the round in which it last knew of a probe. */
-  private final long[] round;
+  private final List<Rota> rotas = new ArrayList<>();
   private final List<Double> probes = new ArrayList<>();
   private double found = Double.NaN;
 
@@ -46,9 +46,9 @@
     this.setup = setup;
     this.way = way;
     chance = new SplittableRandom(setup.seed);
-    round = new long[setup.mixers];
     for (int i = 0; i < setup.mixers; i++) {
       members.add(new MixerId(chance.nextLong()));
+      rotas.add(new Rota(members.get(i), MATTER, Duration.ofMillis((long) ROUND_MS), STEP));
     }
   }
 
@@ -63,7 +63,7 @@
       double benched = chance.nextDouble() * 500; // each finds out by its own parts
       switch (way) {
         case ALONE -> agenda.at(benched + BENCH_MS[0], () -> alone(mixer, 1));
-        case TURNS -> agenda.at(benched, () -> turn(mixer, 1));
+        case TURNS -> agenda.at(benched, () -> turn(mixer));
         default -> agenda.at(benched, () -> spread(mixer, 1));
       }
     }
@@ -94,31 +94,30 @@
     agenda.at(agenda.now() + BENCH_MS[Math.min(times, BENCH_MS.length - 1)], () -> alone(mixer, times + 1));
   }
 
-  /** A round is open for a while, then falls to those in order; a probe that is heard of ends it. */
-  private void turn(int mixer, long which) {
-    Turns turns = new Turns(members.get(mixer), STEP);
-    double wait = ROUND_MS + turns.wait(MATTER, which, members).toMillis();
-    agenda.at(agenda.now() + wait, () -> {
-      if (round[mixer] >= which) {
-        return; // another has asked, and this one stands in a later round already
-      }
-      round[mixer] = which;
-      probe();
-      for (int other = 0; other < setup.mixers; other++) {
-        int told = other;
-        if (other != mixer && chance.nextDouble() >= setup.lost) {
-          agenda.at(agenda.now() + HEARD_AFTER_MS, () -> {
-            if (round[told] < which) {
-              round[told] = which;
-              turn(told, which + 1);
-            }
-          });
+  /** The rota of each decides; what one tells arrives after a while at the others, or is lost. */
+  private void turn(int mixer) {
+    Duration due = rotas.get(mixer).due(members, time());
+    agenda.at(due.toNanos() / 1e6, () -> {
+      Rota rota = rotas.get(mixer);
+      if (rota.due(members, time()).compareTo(time()) <= 0) {
+        long round = rota.acts(time());
+        probe();
+        for (int other = 0; other < setup.mixers; other++) {
+          int told = other;
+          if (other != mixer && chance.nextDouble() >= setup.lost) {
+            agenda.at(agenda.now() + HEARD_AFTER_MS,
+                () -> rotas.get(told).heard(members.get(mixer), round, members, time()));
+          }
         }
       }
-      turn(mixer, which + 1);
+      turn(mixer);
     });
   }
 
+  private Duration time() {
+    return Duration.ofNanos((long) Math.ceil(agenda.now() * 1e6));
+  }
+
   private void spread(int mixer, long which) {
     Turns turns = new Turns(members.get(mixer), Duration.ofMillis((long) ROUND_MS));
     double length = ROUND_MS * setup.mixers;
