--- a/cli/src/main/java/gingerring/cli/FleetCommand.java
+++ b/cli/src/main/java/gingerring/cli/FleetCommand.java
@@ -41,7 +41,8 @@
     void row(Object... cells) {
       List<String> texts = new ArrayList<>();
       for (Object cell : cells) {
-        texts.add(cell instanceof Double number ? String.format(Locale.ROOT, "%.3f", number) : cell.toString());
+        texts.add(cell instanceof Double number ? String.format(Locale.ROOT, "%.3f", number)
+            : cell.toString());
       }
       rows.add(String.join(",", texts));
       texts.replaceAll(text -> String.format("%14s", text));
@@ -58,7 +59,8 @@
       if (folder != null) {
         Files.createDirectories(folder);
         Files.write(folder.resolve(name + ".csv"), rows);
-        Charts.lines(folder.resolve(name + ".png"), title + " (simulated time)", "mixers, power of ten", what, series);
+        Charts.lines(folder.resolve(name + ".png"), title + " (simulated time)", "mixers, power of ten",
+            what, series);
       }
     }
   }
@@ -66,16 +68,19 @@
   @Command(name = "choices", mixinStandardHelpOptions = true,
       description = "Which holder each mixer gives its parts to: evenness of boxes, connections, waits.")
   void choices(
-      @Option(names = "--mixers", split = ",", defaultValue = "10,100,1000,10000", description = "Fleet sizes.")
+      @Option(names = "--mixers", split = ",", defaultValue = "10,100,1000,10000",
+          description = "Fleet sizes.")
       int[] sizes,
       @Option(names = "--boxes", defaultValue = "60") int boxes,
       @Option(names = "--copies", defaultValue = "3", description = "Holders of each folio.") int copies,
-      @Option(names = "--keep", defaultValue = "2", description = "How many of them a cover prefers.") int keep,
+      @Option(names = "--keep", defaultValue = "2",
+          description = "How many of them a cover prefers.") int keep,
       @Option(names = "--use", defaultValue = "0.55", description = "Share of the boxes' capacity asked for.")
       double use,
       @Option(names = "--seconds", defaultValue = "60", description = "Simulated seconds.") double seconds,
       @Option(names = "--seed", defaultValue = "1") long seed,
-      @Option(names = "--out", description = "A folder for table and chart.") Path folder) throws IOException {
+      @Option(names = "--out", description = "A folder for table and chart.") Path folder)
+      throws IOException {
     for (int size : sizes) {
       least("--mixers", size, 1);
     }
@@ -84,11 +89,14 @@
     if (copies < 1 || copies > boxes || !(use > 0) || !(seconds > 0)) {
       throw new IllegalArgumentException("--copies has to be 1 to --boxes, --use and --seconds above 0");
     }
-    Table table = new Table("mixers", "choice", "largest/mean", "lines mean", "lines most", "p50 ms", "p99 ms", "parts");
+    Table table = new Table("mixers", "choice", "largest/mean", "lines mean", "lines most", "p50 ms",
+        "p99 ms", "parts");
     for (int size : sizes) {
       for (Choices.Policy policy : Choices.Policy.values()) {
-        Choices.Result result = Choices.of(new Choices.Setup(size, boxes, copies, keep, use, seconds, seed), policy);
-        table.row(size, policy, result.largestOverMean(), result.linesMean(), result.linesMost(), result.p50(),
+        Choices.Result result = Choices.of(new Choices.Setup(size, boxes, copies, keep, use, seconds, seed),
+            policy);
+        table.row(size, policy, result.largestOverMean(), result.linesMean(), result.linesMost(),
+            result.p50(),
             result.p99(), result.parts());
         table.point(policy.name(), size, result.largestOverMean());
       }
@@ -99,9 +107,11 @@
   @Command(name = "probes", mixinStandardHelpOptions = true,
       description = "Who asks whether a benched box is back: probes at the box, and how late it is found.")
   void probes(
-      @Option(names = "--mixers", split = ",", defaultValue = "10,100,1000,10000", description = "Fleet sizes.")
+      @Option(names = "--mixers", split = ",", defaultValue = "10,100,1000,10000",
+          description = "Fleet sizes.")
       int[] sizes,
-      @Option(names = "--stopped", defaultValue = "0.3", description = "Share of mixers that are gone unnoticed.")
+      @Option(names = "--stopped", defaultValue = "0.3",
+          description = "Share of mixers that are gone unnoticed.")
       double stopped,
       @Option(names = "--lost", defaultValue = "0.05", description = "Share of words that do not arrive.")
       double lost,
@@ -109,7 +119,8 @@
       double back,
       @Option(names = "--seeds", defaultValue = "5", description = "So many seeds from 1 on; means are told.")
       int seeds,
-      @Option(names = "--out", description = "A folder for table and chart.") Path folder) throws IOException {
+      @Option(names = "--out", description = "A folder for table and chart.") Path folder)
+      throws IOException {
     for (int size : sizes) {
       least("--mixers", size, 1);
     }
--- a/cli/src/main/java/gingerring/cli/Gingerring.java
+++ b/cli/src/main/java/gingerring/cli/Gingerring.java
@@ -12,7 +12,9 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
-/** The command line for operators. {@code serve} and {@code drill} alone go straight to the mixer's own start. */
+/**
+ * The command line for operators. {@code serve} and {@code drill} alone go straight to the mixer's own start.
+ */
 @Command(name = "gingerring", mixinStandardHelpOptions = true, version = "gingerring 0.2.0-SNAPSHOT",
     description = "A query router in front of a sharded, replicated store.",
     subcommands = {ServeCommand.class, DemoCommand.class, ExperimentCommand.class, EmulateCommand.class,
--- a/cli/src/test/java/gingerring/cli/GingerringTest.java
+++ b/cli/src/test/java/gingerring/cli/GingerringTest.java
@@ -49,7 +49,8 @@
     Thread thread = new Thread(reactor::run);
     thread.start();
     try (MixerProcess mixer = MixerProcess.start(world, store.discovery(), store.list(), null)) {
-      int code = gingerring("replay", recording, "--to", "127.0.0.1:" + mixer.address().getPort(), "--pace", pace,
+      int code = gingerring("replay", recording, "--to", "127.0.0.1:" + mixer.address().getPort(), "--pace",
+          pace,
           "--late-most", 1000, "--retries", retries, "--out", folder.resolve("x" + pace));
       assertEquals(0, code, out + err);
       Matcher agree = Pattern.compile("([0-9]+) of ([0-9]+) scans agree").matcher(out);
@@ -97,7 +98,8 @@
         + "\"drainGraceMs\": 200, \"troubles\": [{\"kind\": \"drain\", \"atMs\": 500, \"forMs\": 20000}]}")
         .getBytes());
     Run.Result random = Run.of(world, Run.Router.RANDOM, 1, null);
-    assertTrue(random.referee().counts().containsKey(Referee.Rule.DRAIN), random.referee().counts().toString());
+    assertTrue(random.referee().counts().containsKey(Referee.Rule.DRAIN), random.referee().counts()
+        .toString());
   }
 
   @Test void layoutsAreComparedAndPlanned() throws Exception {
--- a/emulator/src/main/java/gingerring/emulator/fleet/Choices.java
+++ b/emulator/src/main/java/gingerring/emulator/fleet/Choices.java
@@ -25,17 +25,18 @@
   }
 
   /**
-   * {@code use}: the share of the boxes' capacity that is asked for; {@code copies}: holders of a folio, next to
-   * each other on the ring; {@code keep}: how many of them a cover prefers; {@code seconds} of simulated time.
-   * Demand is uneven: one mixer in ten asks for ten times what each other one does.
+   * {@code use}: the share of the boxes' capacity that is asked for; {@code copies}: holders of a folio, next
+   * to each other on the ring; {@code keep}: how many of them a cover prefers; {@code seconds} of simulated
+   * time. Demand is uneven: one mixer in ten asks for ten times what each other one does.
    */
   public record Setup(int mixers, int boxes, int copies, int keep, double use, double seconds, long seed) {}
 
   /**
-   * What came of it: a box's busy time, the largest over the mean; connections at a box, mean and most; how long
-   * parts took, in milliseconds.
+   * What came of it: a box's busy time, the largest over the mean; connections at a box, mean and most; how
+   * long parts took, in milliseconds.
    */
-  public record Result(double largestOverMean, double linesMean, int linesMost, double p50, double p99, long parts) {}
+  public record Result(double largestOverMean, double linesMean, int linesMost, double p50, double p99,
+      long parts) {}
 
   private static final int ZONES = 3;
   private static final int SERVERS = 2;
@@ -95,7 +96,8 @@
   private Result play() {
     int busyOnes = Math.max(1, setup.mixers / 10);
     double weights = 10.0 * busyOnes + setup.mixers - busyOnes;
-    double scans = setup.use * setup.boxes * SERVERS / WORK_MS / (FOLIOS_ASKED * setup.boxes); // a millisecond
+    // a millisecond
+    double scans = setup.use * setup.boxes * SERVERS / WORK_MS / (FOLIOS_ASKED * setup.boxes);
     for (int m = 0; m < setup.mixers; m++) {
       next(m, scans * (m < busyOnes ? 10 : 1) / weights);
     }
--- a/emulator/src/main/java/gingerring/emulator/fleet/Probes.java
+++ b/emulator/src/main/java/gingerring/emulator/fleet/Probes.java
@@ -19,12 +19,15 @@
   }
 
   /**
-   * {@code stopped}: the share of the mixers that are gone and that the others still count on; {@code lost}: the
-   * share of words that do not arrive; {@code back}: when the box answers again, in seconds from its bench.
+   * {@code stopped}: the share of the mixers that are gone and that the others still count on; {@code lost}:
+   * the share of words that do not arrive; {@code back}: when the box answers again, in seconds from its
+   * bench.
    */
   public record Setup(int mixers, double stopped, double lost, double back, long seed) {}
 
-  /** Probes a second until the box was back, the most in any one second, and how late the first found it back. */
+  /**
+   * Probes a second until the box was back, the most in any one second, and how late the first found it back.
+   */
   public record Result(double perSecond, int most, double foundAfter) {}
 
   private static final Duration STEP = Duration.ofMillis(250);
--- a/emulator/src/main/java/gingerring/emulator/run/Charts.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Charts.java
@@ -25,7 +25,8 @@
   }
 
   /** Each series by whatever the points are counted by; the title has to say what the figures are of. */
-  public static void lines(Path file, String title, String by, String what, Map<String, Map<Integer, Double>> series)
+  public static void lines(Path file, String title, String by, String what,
+      Map<String, Map<Integer, Double>> series)
       throws IOException {
     System.setProperty("java.awt.headless", "true");
     XYSeriesCollection all = new XYSeriesCollection();
--- a/mixer/src/test/java/gingerring/serve/LoopTest.java
+++ b/mixer/src/test/java/gingerring/serve/LoopTest.java
@@ -81,7 +81,8 @@
     VirtualMachine child = launching.launch(arguments);
     try {
       Set<String> stopped = stopAtEachCall(child);
-      assertTrue(stopped.stream().anyMatch(method -> method.endsWith("Loop.post")), () -> "stopped at " + stopped);
+      assertTrue(stopped.stream().anyMatch(method -> method.endsWith("Loop.post")), () -> "stopped at "
+          + stopped);
       assertTrue(stopped.size() >= 4, () -> "stopped at " + stopped);
     } finally {
       child.process().destroyForcibly();
@@ -137,7 +138,8 @@
     int before = ((IntegerValue) type.getValue(field)).value();
     long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
     while (((IntegerValue) type.getValue(field)).value() < before + 3) {
-      assertTrue(System.nanoTime() < until, () -> "the loop stands still while a poster is stopped in " + name(at));
+      assertTrue(System.nanoTime() < until, () -> "the loop stands still while a poster is stopped in "
+          + name(at));
       Thread.sleep(1);
     }
   }
--- a/peers/src/main/java/gingerring/peers/Seal.java
+++ b/peers/src/main/java/gingerring/peers/Seal.java
@@ -13,16 +13,18 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /**
- * A word as bytes, with the proof that its author knows the fleet's key: HMAC-SHA256 (RFC 2104, FIPS 180-4) cut to
- * 16 bytes, over all that comes before it. Whoever knows the key can speak for any peer; a word cannot be changed or
- * made by who does not. One that is sent again as it was is proved too: {@link Words} drops it by its number.
+ * A word as bytes, with the proof that its author knows the fleet's key: HMAC-SHA256 (RFC 2104, FIPS 180-4)
+ * cut to 16 bytes, over all that comes before it. Whoever knows the key can speak for any peer; a word cannot
+ * be changed or made by who does not. One that is sent again as it was is proved too: {@link Words} drops it
+ * by its number.
  *
- * <p>Form, most significant byte first: form 1 (1 byte), author, life, number (8 each), zone (4), demand (4, a
- * float), count of boxes (2), then for each, by number, box (8), answered, failed (2 each, whole parts, 65,535 at
- * most and so many where there are more), and the proof (16). A word of n boxes takes 51 + 12 n bytes.
+ * <p>Form, most significant byte first: form 1 (1 byte), author, life, number (8 each), zone (4), demand (4,
+ * a float), count of boxes (2), then for each, by number, box (8), answered, failed (2 each, whole parts,
+ * 65,535 at most and so many where there are more), and the proof (16). A word of n boxes takes 51 + 12 n
+ * bytes.
  *
- * <p>Keys change without a gap: {@link #of} proves with the first key and believes any of them. Not for use by
- * several threads at once.
+ * <p>Keys change without a gap: {@link #of} proves with the first key and believes any of them. Not for use
+ * by several threads at once.
  */
 public final class Seal {
   /** Bytes that are no word, or not proved; the message says which. */
@@ -73,7 +75,8 @@
 
   public byte[] seal(Word word) {
     ByteBuffer bytes = ByteBuffer.allocate(HEAD + EACH * word.boxes().size() + PROOF);
-    bytes.put(FORM).putLong(word.author().number()).putLong(word.life()).putLong(word.number()).putInt(word.zone())
+    bytes.put(FORM).putLong(word.author().number()).putLong(word.life()).putLong(word.number())
+        .putInt(word.zone())
         .putFloat((float) Math.min(Float.MAX_VALUE, word.demand())).putShort((short) word.boxes().size());
     new TreeMap<>(word.boxes()).forEach((box, seen) -> bytes.putLong(box).putShort(parts(seen.answered()))
         .putShort(parts(seen.failed())));
--- a/peers/src/main/java/gingerring/peers/Seen.java
+++ b/peers/src/main/java/gingerring/peers/Seen.java
@@ -1,8 +1,8 @@
 package gingerring.peers;
 
 /**
- * What an author saw of one box over its last span: parts answered, and parts that failed there (silence, error
- * or refusal). Counts, zero or more; whoever reads them judges for itself.
+ * What an author saw of one box over its last span: parts answered, and parts that failed there (silence,
+ * error or refusal). Counts, zero or more; whoever reads them judges for itself.
  */
 public record Seen(double answered, double failed) {
   public Seen {
--- a/peers/src/main/java/gingerring/peers/Words.java
+++ b/peers/src/main/java/gingerring/peers/Words.java
@@ -11,8 +11,8 @@
  * The latest word of each peer. Call {@link #heard} for each word that came and whose sender was proved;
  * {@link #fresh} for those that still count.
  *
- * <p>Bounds: {@code peersMost} peers, of whom the one silent longest goes for a newcomer once its word has aged,
- * and a newcomer is turned away while none has; {@code boxesMost} boxes a word; one word a peer in each
+ * <p>Bounds: {@code peersMost} peers, of whom the one silent longest goes for a newcomer once its word has
+ * aged, and a newcomer is turned away while none has; {@code boxesMost} boxes a word; one word a peer in each
  * {@code apart}. What is not taken is counted by cause ({@link #count}). Memory: the words kept, and some 100
  * bytes a peer.
  */
@@ -87,7 +87,10 @@
     return room ? Verdict.TAKEN : Verdict.NO_ROOM;
   }
 
-  /** The peer has said that it leaves: what it said counts no more. Its life is remembered until it is forgotten. */
+  /**
+   * The peer has said that it leaves: what it said counts no more. Its life is remembered until it is
+   * forgotten.
+   */
   public void left(PeerId peer, long life, Duration now) {
     Kept last = kept.get(peer);
     if (last != null && last.word.life() <= life) {
--- a/peers/src/test/java/gingerring/peers/HearsayTest.java
+++ b/peers/src/test/java/gingerring/peers/HearsayTest.java
@@ -17,7 +17,8 @@
   private static final Seen NOTHING = new Seen(0, 0);
 
   private static Words.Kept kept(int author, int zone, double demand, double answered, double failed) {
-    return new Words.Kept(new Word(new PeerId(author), 1, 1, zone, demand, Map.of(5L, new Seen(answered, failed))),
+    return new Words.Kept(new Word(new PeerId(author), 1, 1, zone, demand, Map.of(5L, new Seen(answered,
+        failed))),
         Duration.ZERO);
   }
 
--- a/peers/src/test/java/gingerring/peers/SealTest.java
+++ b/peers/src/test/java/gingerring/peers/SealTest.java
@@ -24,11 +24,13 @@
     for (int i = chance.nextInt(20); i > 0; i--) {
       boxes.put(chance.nextLong(), new Seen(chance.nextInt(65_536), chance.nextInt(65_536)));
     }
-    return new Word(new PeerId(chance.nextLong()), chance.nextLong(), chance.nextLong(), chance.nextInt(-1, 9),
+    return new Word(new PeerId(chance.nextLong()), chance.nextLong(), chance.nextLong(), chance.nextInt(-1,
+        9),
         chance.nextInt(1000), boxes);
   }
 
-  @Property(tries = 200, seed = "33") void whatIsSealedIsOpenedAndNothingElseIs(@ForAll long seed) throws Seal.Refused {
+  @Property(tries = 200, seed = "33")
+  void whatIsSealedIsOpenedAndNothingElseIs(@ForAll long seed) throws Seal.Refused {
     SplittableRandom chance = new SplittableRandom(seed);
     Word word = word(chance);
     Seal seal = Seal.of(List.of(KEY));
@@ -47,7 +49,8 @@
   /** A key is changed in three steps, mixer by mixer; at no step is a word refused. */
   @Test void keysChangeWithoutAGap() throws Seal.Refused {
     Word word = word(new SplittableRandom(1));
-    List<Seal> steps = List.of(Seal.of(List.of(KEY)), Seal.of(List.of(KEY, NEXT)), Seal.of(List.of(NEXT, KEY)),
+    List<Seal> steps = List.of(Seal.of(List.of(KEY)), Seal.of(List.of(KEY, NEXT)), Seal.of(List.of(NEXT,
+        KEY)),
         Seal.of(List.of(NEXT)));
     for (int i = 0; i + 1 < steps.size(); i++) {
       assertEquals(word, steps.get(i).open(steps.get(i + 1).seal(word)));
@@ -59,8 +62,10 @@
   /** Who knows the key and sends what is no word: proved, and refused all the same. */
   @Test void whatIsProvedHasToBeAWord() throws Exception {
     Seal seal = Seal.of(List.of(KEY));
-    byte[] bytes = seal.seal(new Word(new PeerId(1), 1, 1, 0, 1, Map.of(1L, new Seen(1, 1), 2L, new Seen(1, 1))));
-    for (int[] change : new int[][] {{0, 2}, {29, 0xFF}, {34, 1}, {34, 3}, {54, 1}}) { // form, demand, count, box
+    byte[] bytes = seal.seal(new Word(new PeerId(1), 1, 1, 0, 1, Map.of(1L, new Seen(1, 1), 2L, new Seen(1,
+        1))));
+    // form, demand, count, box
+    for (int[] change : new int[][] {{0, 2}, {29, 0xFF}, {34, 1}, {34, 3}, {54, 1}}) {
       byte[] bent = bytes.clone();
       bent[change[0]] = (byte) change[1];
       Mac mac = Mac.getInstance("HmacSHA256");
--- a/peers/src/test/java/gingerring/peers/WordsTest.java
+++ b/peers/src/test/java/gingerring/peers/WordsTest.java
@@ -62,7 +62,10 @@
     assertEquals(last, fresh);
   }
 
-  /** Guards against a process that comes back from a stop, or a recording, that speaks for a life that is over. */
+  /**
+   * Guards against a process that comes back from a stop, or a recording, that speaks for a life that is
+   * over.
+   */
   @Test void anEarlierLifeNeverWins() {
     Words words = new Words(SELF, 10, 4, APART, AGE);
     assertEquals(Verdict.TAKEN, words.heard(word(1, 100, 50), ms(0)));
--- a/share/src/main/java/gingerring/share/Cover.java
+++ b/share/src/main/java/gingerring/share/Cover.java
@@ -12,15 +12,16 @@
 
 /**
  * Which boxes a mixer prefers: few enough that connections are bounded, and of each folio so many holders as
- * retries need, in two zones where that can be had. Each mixer takes the boxes in an order of its own, drawn by
- * size for each pair of mixer and box; takes each that some folio still wants; and then drops, the last first,
- * what no folio misses. So over many mixers a box is preferred in proportion to its size, and a box that comes
- * or goes moves little, since the order of all others stays.
+ * retries need, in two zones where that can be had. Each mixer takes the boxes in an order of its own, drawn
+ * by size for each pair of mixer and box; takes each that some folio still wants; and then drops, the last
+ * first, what no folio misses. So over many mixers a box is preferred in proportion to its size, and a box
+ * that comes or goes moves little, since the order of all others stays.
  *
- * <p>A mixer widens by leaving out of {@code boxes} what it does not trust: the others of that folio stand in.
- * A box that no folio lists is never preferred; a folio whose holders are all left out stays without one.
+ * <p>A mixer widens by leaving out of {@code boxes} what it does not trust: the others of that folio stand
+ * in. A box that no folio lists is never preferred; a folio whose holders are all left out stays without one.
  *
- * <p>Cost: O(b log b + sum over boxes of the folios each holds, times their holders); memory of the same order.
+ * <p>Cost: O(b log b + sum over boxes of the folios each holds, times their holders); memory of the same
+ * order.
  */
 public final class Cover {
   private final int keep;
@@ -93,7 +94,9 @@
     return mine.size() >= Math.min(keep, holders.size()) && zones >= zonesOf(holders);
   }
 
-  /** In how many zones a folio's preferred holders have to stand: two where it can be, one for a single one. */
+  /**
+   * In how many zones a folio's preferred holders have to stand: two where it can be, one for a single one.
+   */
   private int zonesOf(List<BoxId> holders) {
     long there = holders.stream().map(id -> boxes.get(id).zone()).distinct().count();
     return (int) Math.min(Math.min(2, keep), there);
--- a/share/src/main/java/gingerring/share/Ranks.java
+++ b/share/src/main/java/gingerring/share/Ranks.java
@@ -10,7 +10,9 @@
 
   private Ranks() {}
 
-  /** Stafford's variant 13 of the 64-bit finalizer, as in java.util.SplittableRandom: every bit moves every. */
+  /**
+   * Stafford's variant 13 of the 64-bit finalizer, as in java.util.SplittableRandom: every bit moves every.
+   */
   static long mix(long bits) {
     long mixed = (bits ^ (bits >>> 30)) * 0xBF58476D1CE4E5B9L;
     mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
--- a/share/src/main/java/gingerring/share/Rota.java
+++ b/share/src/main/java/gingerring/share/Rota.java
@@ -5,18 +5,19 @@
 
 /**
  * One matter that is done once in each span by one mixer for all, as one mixer knows it. All times are of the
- * common clock: since a moment that all know. Ask {@link #due} when this mixer acts if it hears of nobody who has;
- * call {@link #acts} when it does, and tell the others the round that it returns; {@link #heard} when another tells
- * so. Rounds are numbered by the clock, so that one who starts anew, or wakes after a stop, knows the round at
- * once and needs nobody's word for it.
+ * common clock: since a moment that all know. Ask {@link #due} when this mixer acts if it hears of nobody who
+ * has; call {@link #acts} when it does, and tell the others the round that it returns; {@link #heard} when
+ * another tells so. Rounds are numbered by the clock, so that one who starts anew, or wakes after a stop,
+ * knows the round at once and needs nobody's word for it.
  *
  * <p>Two act in a round: one more for each mixer that a word did not reach within its step, and one more for
- * each whose clock is off by more than a step. Nobody acts: those who come first and are not there take a step
- * each, and where they fill a whole span the next round has another order.
+ * each whose clock is off by more than a step. Nobody acts: those who come first and are not there take a
+ * step each, and where they fill a whole span the next round has another order.
  *
  * <p>Who claims rounds that it did not do holds up only its own: a claim is believed only from a member whose
- * place has come, by this mixer's own order and clock, give or take a step. So of n members f that claim falsely,
- * alone or together, hold up no round in which none of them comes first among those there. State: two numbers.
+ * place has come, by this mixer's own order and clock, give or take a step. So of n members f that claim
+ * falsely, alone or together, hold up no round in which none of them comes first among those there. State:
+ * two numbers.
  */
 public final class Rota {
   private final Turns turns;
--- a/share/src/main/java/gingerring/share/Turns.java
+++ b/share/src/main/java/gingerring/share/Turns.java
@@ -5,17 +5,19 @@
 
 /**
  * Whose turn it is to do what one is to do for all: to probe a benched box, to give a cold one its next part,
- * to connect first after a loss, to ask discovery first when it is back. {@link #wait} says how long after the
- * matter fell due this mixer leaves it to others; if it has no word by then that it was done, it may do it.
+ * to connect first after a loss, to ask discovery first when it is back. {@link #wait} says how long after
+ * the matter fell due this mixer leaves it to others; if it has no word by then that it was done, it may do
+ * it.
  *
  * <p>With the members known, they stand in an order drawn for the matter and its round, a step apart. Its two
- * failures: where views of who is there differ by d members, at most d + 1 hold the same place, so that at most
- * d + 1 act in one step; where the first r are gone, stopped or do not know, the next acts after r steps.
+ * failures: where views of who is there differ by d members, at most d + 1 hold the same place, so that at
+ * most d + 1 act in one step; where the first r are gone, stopped or do not know, the next acts after r
+ * steps.
  *
  * <p>Without talk only the size of the fleet is known, and no mixer hears that another acted: each draws its
- * own time from so many steps, so that over the fleet one acts in a step on average, however large the fleet is
- * ({@link #spread}); some act in the same step, as in any draw, and the longest span without any is that of
- * such a draw.
+ * own time from so many steps, so that over the fleet one acts in a step on average, however large the fleet
+ * is ({@link #spread}); some act in the same step, as in any draw, and the longest span without any is that
+ * of such a draw.
  */
 public final class Turns {
   private final MixerId self;
--- a/share/src/test/java/gingerring/share/CoverTest.java
+++ b/share/src/test/java/gingerring/share/CoverTest.java
@@ -55,7 +55,8 @@
     }
   }
 
-  private static boolean plainlyCovered(List<Box> trusted, List<List<BoxId>> folios, int keep, Set<BoxId> chosen) {
+  private static boolean plainlyCovered(List<Box> trusted, List<List<BoxId>> folios, int keep,
+      Set<BoxId> chosen) {
     Map<BoxId, Integer> zones = new HashMap<>();
     trusted.forEach(box -> zones.put(box.id(), box.zone()));
     if (!zones.keySet().containsAll(chosen)) {
--- a/share/src/test/java/gingerring/share/FairSharesTest.java
+++ b/share/src/test/java/gingerring/share/FairSharesTest.java
@@ -21,7 +21,8 @@
         weight += shares[i] < demands[i] ? weights[i] : 0;
       }
       for (int i = 0; i < demands.length && weight > 0; i++) {
-        shares[i] = shares[i] < demands[i] ? Math.min(demands[i], shares[i] + room / 40_000 * weights[i] / weight)
+        shares[i] = shares[i] < demands[i] ? Math.min(demands[i], shares[i]
+            + room / 40_000 * weights[i] / weight)
             : shares[i];
       }
     }
@@ -44,7 +45,8 @@
       assertTrue(shares[i] <= demands[i]);
       for (int j = 0; j < count; j++) {
         boolean short_ = shares[i] < demands[i] - 1e-9;
-        assertTrue(!short_ || shares[j] / weights[j] <= shares[i] / weights[i] + 1e-9, "who is short has the most");
+        assertTrue(!short_ || shares[j] / weights[j] <= shares[i] / weights[i] + 1e-9,
+            "who is short has the most");
       }
     }
   }
--- a/share/src/test/java/gingerring/share/RotaTest.java
+++ b/share/src/test/java/gingerring/share/RotaTest.java
@@ -33,8 +33,9 @@
   }
 
   /**
-   * Three mixers in ticks of a step, every order of what can happen: each word takes a tick, but two are lost or take
-   * one more, one mixer stops for five ticks and goes on, one starts anew. No state is looked at twice.
+   * Three mixers in ticks of a step, every order of what can happen: each word takes a tick, but two are lost
+   * or take one more, one mixer stops for five ticks and goes on, one starts anew. No state is looked at
+   * twice.
    */
   private static final class World {
     static final int TICKS = 15;
@@ -49,7 +50,8 @@
     }
 
     /** What is the same from here on, whatever came before. */
-    record State(int tick, List<Long> done, List<Integer> stoppedUntil, List<long[]> words, int losses, int stops,
+    record State(int tick, List<Long> done, List<Integer> stoppedUntil, List<long[]> words, int losses,
+        int stops,
         int restarts, int acts, int excuses, int quiet) {
       String key() {
         StringBuilder key = new StringBuilder();
@@ -90,7 +92,8 @@
             done.set(restart, -1L);
           }
           int excuse = (stop >= 0 ? 1 : 0) + (restart >= 0 ? 1 : 0);
-          deliver(new State(state.tick, done, stopped, state.words, state.losses, state.stops - (stop >= 0 ? 1 : 0),
+          deliver(new State(state.tick, done, stopped, state.words, state.losses, state.stops - (stop >= 0
+              ? 1 : 0),
               state.restarts - (restart >= 0 ? 1 : 0), state.acts, state.excuses + excuse, state.quiet), 0);
         }
       }
@@ -113,15 +116,18 @@
       fewer.remove(from);
       List<Long> done = new ArrayList<>(state.done);
       Rota rota = at(to, state.done.get(to), members(3));
-      if (listens && rota.heard(new MixerId(word[0] + 1), word[2], members(3), STEP.multipliedBy(state.tick))) {
+      if (listens && rota.heard(new MixerId(word[0] + 1), word[2], members(3),
+          STEP.multipliedBy(state.tick))) {
         done.set(to, word[2]);
       }
-      deliver(new State(state.tick, done, state.stoppedUntil, fewer, state.losses, state.stops, state.restarts,
+      deliver(new State(state.tick, done, state.stoppedUntil, fewer, state.losses, state.stops,
+          state.restarts,
           state.acts, state.excuses, state.quiet), from);
       if (state.losses > 0) {
         deliver(new State(state.tick, state.done, state.stoppedUntil, fewer, state.losses - 1, state.stops,
             state.restarts, state.acts, state.excuses + 1, state.quiet), from);
-        deliver(new State(state.tick, state.done, state.stoppedUntil, state.words, state.losses - 1, state.stops,
+        deliver(new State(state.tick, state.done, state.stoppedUntil, state.words, state.losses - 1,
+            state.stops,
             state.restarts, state.acts, state.excuses + 1, state.quiet), from + 1);
       }
     }
@@ -154,11 +160,14 @@
       if (quiet > 4 + 3) { // a whole round, and a step for each who may be missing
         wrong.add("nobody acts for " + quiet + " ticks");
       }
-      tick(new State(state.tick + 1, done, state.stoppedUntil, words, state.losses, state.stops, state.restarts, acts,
+      tick(new State(state.tick + 1, done, state.stoppedUntil, words, state.losses, state.stops,
+          state.restarts, acts,
           excuses, quiet));
     }
 
-    /** A stop, a loss or a new start of a round before may still show in the next, as a stop lasts five ticks. */
+    /**
+     * A stop, a loss or a new start of a round before may still show in the next, as a stop lasts five ticks.
+     */
     private static int carried(State state) {
       return 4 - state.losses - state.stops - state.restarts;
     }
@@ -187,13 +196,15 @@
       }
       boolean theirs = false;
       for (int liar = 5; liar < 8; liar++) {
-        theirs |= new Turns(members.get(liar), STEP).place(MATTER, round, members) <= 1; // give or take a step
+        // give or take a step
+        theirs |= new Turns(members.get(liar), STEP).place(MATTER, round, members) <= 1;
       }
       assertTrue(!believed || theirs);
       heldUp += believed ? 1 : 0;
     }
     assertTrue(honest.disbelieved() > 200 && heldUp < 160, () -> "disbelieved " + honest.disbelieved());
-    assertFalse(honest.heard(new MixerId(77), start + 200L, members, EVERY.multipliedBy(start + 200L)), "a stranger");
+    assertFalse(honest.heard(new MixerId(77), start + 200L, members, EVERY.multipliedBy(start + 200L)),
+        "a stranger");
     assertFalse(honest.heard(members.get(5), Long.MAX_VALUE, members, EVERY.multipliedBy(start + 200L)));
   }
 
--- a/share/src/test/java/gingerring/share/ShareLayoutTest.java
+++ b/share/src/test/java/gingerring/share/ShareLayoutTest.java
@@ -12,7 +12,8 @@
     JavaClasses classes = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
         .importPackages("gingerring.share");
     ArchRuleDefinition.classes().should().onlyDependOnClassesThat().resideInAnyPackage("gingerring.share",
-        "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util", "java.util.function", "java.util.stream",
+        "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util", "java.util.function",
+        "java.util.stream",
         "java.util.random", "java.time").check(classes);
     ArchRuleDefinition.noClasses().should().dependOnClassesThat().haveNameMatching("java\\.time\\.Clock|"
         + "java\\.lang\\.Thread|java\\.util\\.Timer|java\\.lang\\.System").check(classes);
--- a/share/src/test/java/gingerring/share/TurnsTest.java
+++ b/share/src/test/java/gingerring/share/TurnsTest.java
@@ -44,7 +44,10 @@
     assertTrue(firsts.size() > 15, () -> firsts.size() + " of 40 came first in 40 rounds");
   }
 
-  /** The two failures: of views that differ by d at most d + 1 share a place, of r who are gone all are passed. */
+  /**
+   * The two failures: of views that differ by d at most d + 1 share a place, of r who are gone all are
+   * passed.
+   */
   @Property(tries = 200, seed = "29") void itsTwoFailuresAreBounded(@ForAll long seed) {
     SplittableRandom chance = new SplittableRandom(seed);
     List<MixerId> fleet = fleet(12);
@@ -61,11 +64,13 @@
       first += new Turns(mixer, STEP).place(seed, 1, view) == 0 ? 1 : 0;
     }
     int holders = first;
-    assertTrue(holders >= 1 && holders <= d + 1, () -> holders + " hold the first place, views differ by " + d);
+    assertTrue(holders >= 1 && holders <= d + 1, () -> holders + " hold the first place, views differ by "
+        + d);
     List<MixerId> there = fleet.subList(d, 12);
     Duration soonest = there.stream().map(mixer -> new Turns(mixer, STEP).wait(seed, 1, fleet))
         .min(Duration::compareTo).orElseThrow();
-    assertTrue(soonest.compareTo(STEP.multipliedBy(d)) <= 0, () -> d + " are gone, the next acts after " + soonest);
+    assertTrue(soonest.compareTo(STEP.multipliedBy(d)) <= 0, () -> d + " are gone, the next acts after "
+        + soonest);
   }
 
   /** Without talk the rate over the fleet does not grow with it. */
