--- a/cli/src/main/java/gingerring/cli/FleetCommand.java
+++ b/cli/src/main/java/gingerring/cli/FleetCommand.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -81,9 +82,7 @@
       @Option(names = "--seed", defaultValue = "1") long seed,
       @Option(names = "--out", description = "A folder for table and chart.") Path folder)
       throws IOException {
-    for (int size : sizes) {
-      least("--mixers", size, 1);
-    }
+    least("--mixers", Arrays.stream(sizes).min().orElse(0), 1);
     least("--boxes", boxes, 1);
     least("--keep", keep, 1);
     if (copies < 1 || copies > boxes || !(use > 0) || !(seconds > 0)) {
@@ -121,9 +120,7 @@
       int seeds,
       @Option(names = "--out", description = "A folder for table and chart.") Path folder)
       throws IOException {
-    for (int size : sizes) {
-      least("--mixers", size, 1);
-    }
+    least("--mixers", Arrays.stream(sizes).min().orElse(0), 1);
     least("--seeds", seeds, 1);
     if (!(stopped >= 0 && stopped < 1) || !(lost >= 0 && lost <= 1) || !(back > 0)) {
       throw new IllegalArgumentException("--stopped has to be 0 to below 1, --lost 0 to 1, --back above 0");
