--- /dev/null
+++ b/peers/src/main/java/gingerring/peers/Body.java
@@ -0,0 +1,34 @@
+package gingerring.peers;
+
+import java.util.List;
+
+/** What one letter between two mixers is about; news of others goes beside it. */
+public sealed interface Body {
+  /** Are you there? {@code peer} is whom the sender means: another at that place does not answer. */
+  record Ping(int number, PeerId peer) implements Body {}
+
+  /** I am. */
+  record Ack(int number) implements Body {}
+
+  /** Whom you asked me to ask has not answered yet; I myself am there. */
+  record Nack(int number) implements Body {}
+
+  /** Ask that one for me. */
+  record Help(int number, PeerId peer, Place place) implements Body {}
+
+  /** Tell me whom you know, from this number on (as unsigned). */
+  record Ask(long from) implements Body {}
+
+  /** Whom I know, in the order of their numbers; {@code next} is where the rest begins, 0 for none. */
+  record Page(List<Standing> standings, long next) implements Body {
+    public Page {
+      standings = List.copyOf(standings);
+    }
+  }
+
+  /** What I have seen. */
+  record Say(Word word) implements Body {}
+
+  /** Nothing but what goes beside it. */
+  record Pass() implements Body {}
+}
--- /dev/null
+++ b/peers/src/main/java/gingerring/peers/Company.java
@@ -0,0 +1,377 @@
+package gingerring.peers;
+
+import gingerring.share.MixerId;
+import gingerring.share.Rota;
+import gingerring.share.Turns;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * One mixer among its peers: who they are ({@link Membership}), what they say and how much it weighs ({@link
+ * Words}, {@link Hearsay}), and whose turn it is to ask a benched box for all ({@link Rota}). Its owner calls
+ * {@link #begin} once, {@link #tick} ten times a second, {@link #received} for each datagram, {@link #saw}, {@link
+ * #benched}, {@link #asks} and {@link #asked} for what the mixer meets, and asks {@link #turn} and {@link #doubt}
+ * when the mixer wants to know; it acts by {@link Host}.
+ *
+ * <p>Nothing that others say is an order. A note that a box has answered lets this mixer ask it too, sooner than
+ * it would have; a word that a box fails shortens how long its silence is borne. What any one peer can move is so
+ * much and no more, and with nobody heard every answer is what it would be without peers.
+ *
+ * <p>Bounds: as of its parts; {@link Rules#boxesMost} boxes in hand; one note a box is passed on, the newest; and
+ * {@link Rules#bytesPerSecond} sent at the most.
+ */
+public final class Company {
+  /** How it acts, and the clock. */
+  public interface Host {
+    /** Time since the start of this mixer. */
+    Duration now();
+
+    /** Sends a datagram, which may be lost. */
+    void send(Place to, byte[] letter);
+
+    /** Another mixer had an answer of a benched box: it may be asked. */
+    void answers(long box);
+
+    /** A peer came, went or is in doubt. */
+    void changed(Standing now);
+  }
+
+  /**
+   * {@code zone}: where this mixer stands, -1 where that is not told; {@code sayEvery} and {@code sayTo}: how often
+   * its word goes out, and to how many drawn by chance; {@code sees}: what span a word tells of; {@code believes}:
+   * how long one counts; {@code witnesses}: how many are needed, see {@link Hearsay} (2f + 1 stand against f that
+   * lie together); {@code roundEvery} and {@code
+   * roundStep}: the rota of asks; {@code bytesPerSecond}: the ceiling.
+   */
+  public record Rules(Membership.Rules membership, int zone, Duration sayEvery, int sayTo, Duration sees,
+      Duration believes, int witnesses, Duration roundEvery, Duration roundStep, int boxesMost, int bytesPerSecond) {
+    public Rules {
+      if (sayEvery.isZero() || sayEvery.isNegative() || sayTo < 0 || boxesMost < 1
+          || believes.compareTo(sayEvery) <= 0) {
+        throw new IllegalArgumentException("a word each " + sayEvery + " to " + sayTo + ", believed for " + believes
+            + ", of " + boxesMost + " boxes");
+      }
+    }
+
+    public static Rules usual() {
+      return new Rules(Membership.Rules.usual(), -1, Duration.ofSeconds(1), 3, Duration.ofSeconds(5),
+          Duration.ofSeconds(10), 7, Duration.ofSeconds(2), Duration.ofMillis(250), 512, 16_384);
+    }
+  }
+
+  /** What happened, by cause. */
+  public enum Count {
+    /** Letters sent, and taken. */ SENT, TAKEN,
+    /** Not proved, or no letter. */ REFUSED,
+    /** Came before, far behind, or of an earlier life. */ REPEATED,
+    /** Not sent for the ceiling. */ OVER_CEILING,
+    /** Words taken, and not. */ WORDS, WORDS_DROPPED,
+    /** Notes believed, and not. */ NOTES, NOTES_DISBELIEVED,
+    /** Of boxes that no list names. */ STRANGE_BOX,
+    /** Asked a box for all. */ ASKED
+  }
+
+  private static final double PARTS_LEAST = 1;
+  private static final double LENT = 4;
+  private static final double DEMAND_MOST = 4;
+  private static final int NEWS = 6;
+  private static final int NOTES = 4;
+  private static final int PASS_TO = 3;
+  private static final double NOTES_PASSED_ON = 4;
+  /** So much later asks of their own each further mixer draws, after one had an answer. */
+  private static final Duration AFTER_ANSWER = Duration.ofMillis(5);
+  /** What a bench for silence counts for in one's word, in parts that failed. */
+  private static final double SILENCE_PARTS = 3;
+
+  /** A box that this mixer asks about, or hears of. */
+  private static final class Matter {
+    final Rota rota;
+    /** From when on it may ask by itself since another had an answer; null where none had. */
+    Duration answered;
+    /** The round that it acts for, while its ask is out. */
+    Long round;
+    /** Whose note was believed last. */
+    Note last;
+
+    Matter(Rota rota) {
+      this.rota = rota;
+    }
+  }
+
+  private final PeerId self;
+  private final long life;
+  private final Rules rules;
+  private final Host host;
+  private final Letters letters;
+  private final Membership membership;
+  private final Numbers numbers;
+  private final Words words;
+  private final Hearsay hearsay;
+  private final Sight sight;
+  private final Budget budget;
+  private final Spread<Long, Note> notes;
+  private final Map<Long, Matter> matters = new LinkedHashMap<>(16, 0.75f, true);
+  private final Map<Count, Long> counts = new TreeMap<>();
+  private Set<Long> listed = Set.of();
+  private long number;
+  private Duration sayNext = Duration.ZERO;
+  private long bytes;
+
+  /** {@code life}: Unix time in milliseconds at which {@link Host#now} was zero. */
+  public Company(PeerId self, Place here, long life, Rules rules, Seal seal, RandomGenerator chance, Host host) {
+    this.self = self;
+    this.life = life;
+    this.rules = rules;
+    this.host = host;
+    letters = new Letters(seal);
+    numbers = new Numbers(2 * rules.membership.peersMost());
+    words = new Words(self, rules.membership.peersMost(), Letters.boxes(0, 0), rules.sayEvery.dividedBy(2),
+        rules.believes);
+    hearsay = new Hearsay(rules.witnesses, PARTS_LEAST, LENT, DEMAND_MOST);
+    sight = new Sight(rules.sees, rules.boxesMost);
+    budget = new Budget(rules.bytesPerSecond);
+    notes = new Spread<>(rules.boxesMost, NOTES_PASSED_ON);
+    membership = new Membership(self, here, life, rules.membership, chance, new Membership.Host() {
+      @Override public Duration now() {
+        return host.now();
+      }
+
+      @Override public void send(Place to, Body body) {
+        Company.this.send(to, body, false);
+      }
+
+      @Override public void changed(Standing now) {
+        if (now.state() == Standing.State.LEFT) { // what one who is gone said ages by itself: it may be back
+          words.left(now.peer(), now.life(), host.now());
+        }
+        host.changed(now);
+      }
+    });
+  }
+
+  public void begin(List<Place> places) {
+    membership.begin(places);
+  }
+
+  /** Time has passed. */
+  public void tick() {
+    membership.tick();
+    Duration now = host.now();
+    if (now.compareTo(sayNext) >= 0) {
+      sayNext = now.plus(rules.sayEvery);
+      Word word = new Word(self, life, number, rules.zone, sight.demand(now),
+          sight.worth(Letters.boxes(NEWS, NOTES), now));
+      membership.some(rules.sayTo).forEach(each -> send(each.place(), new Body.Say(word), true));
+    }
+  }
+
+  private void send(Place to, Body body, boolean word) {
+    if (membership.superseded()) {
+      return;
+    }
+    int room = Letters.newsBeside(body);
+    List<Note> passed = room < 2 * NOTES ? List.of() : notes.take(NOTES, membership.present().size() + 1);
+    List<Standing> news = membership.news(Math.min(NEWS, room - passed.size()));
+    byte[] letter = letters.write(new Letter(self, life, ++number, body, news, passed));
+    if (!budget.take(letter.length, word, host.now())) {
+      count(Count.OVER_CEILING);
+      return;
+    }
+    bytes += letter.length;
+    count(Count.SENT);
+    host.send(to, letter);
+  }
+
+  /** A datagram has come. */
+  public void received(Place from, byte[] datagram) {
+    Letter letter;
+    try {
+      letter = letters.read(datagram);
+    } catch (Letters.Refused e) {
+      count(Count.REFUSED);
+      return;
+    }
+    if (letter.author().equals(self) && letter.life() == life
+        || !numbers.take(letter.author(), letter.life(), letter.number())) {
+      count(Count.REPEATED);
+      return;
+    }
+    count(Count.TAKEN);
+    membership.heard(letter.author(), from, letter.body(), letter.news());
+    if (letter.body() instanceof Body.Say say) {
+      count(words.heard(say.word(), host.now()) == Words.Verdict.TAKEN ? Count.WORDS : Count.WORDS_DROPPED);
+    }
+    letter.notes().forEach(this::noted);
+  }
+
+  /** A note that came, perhaps by others: believed only of one whose turn had come. */
+  private void noted(Note note) {
+    if (note.author().equals(self)) {
+      return;
+    }
+    if (!listed.contains(note.box())) {
+      count(Count.STRANGE_BOX);
+      return;
+    }
+    Matter matter = matter(note.box());
+    long before = matter.rota.disbelieved();
+    // who had asked in this round has had its answer
+    boolean more = note.answered() && matter.last != null && !matter.last.answered()
+        && matter.last.author().equals(note.author()) && matter.last.round() == note.round();
+    boolean itsLife = note.life() == membership.life(note.author());
+    if (!itsLife || !more && !matter.rota.heard(id(note.author()), note.round(), mixers(), common())) {
+      if (!itsLife || matter.rota.disbelieved() > before) {
+        count(Count.NOTES_DISBELIEVED);
+      }
+      return;
+    }
+    matter.last = note;
+    count(Count.NOTES);
+    if (note.answered()) {
+      // all are to ask it now, and not all in one moment
+      Duration wait = new Turns(id(self), AFTER_ANSWER).spread(note.box(), note.round(), mixers().size());
+      matter.answered = host.now().plus(wait);
+      host.answers(note.box());
+    }
+    pass(note);
+  }
+
+  /** News that does not bear waiting for the next letter: to some at once, each of whom does the same. */
+  private void pass(Note note) {
+    notes.add(note.box(), note);
+    membership.some(PASS_TO).forEach(each -> send(each.place(), new Body.Pass(), false));
+  }
+
+  private Matter matter(long box) {
+    Matter matter = matters.get(box);
+    if (matter == null) {
+      if (matters.size() >= rules.boxesMost) {
+        matters.remove(matters.keySet().iterator().next());
+      }
+      matter = new Matter(new Rota(id(self), box, rules.roundEvery, rules.roundStep));
+      matters.put(box, matter);
+    }
+    return matter;
+  }
+
+  private static MixerId id(PeerId peer) {
+    return new MixerId(peer.number());
+  }
+
+  private Collection<MixerId> mixers() {
+    List<MixerId> mixers = new ArrayList<>();
+    membership.present().forEach(each -> mixers.add(id(each)));
+    mixers.add(id(self));
+    return mixers;
+  }
+
+  private Duration common() {
+    return host.now().plusMillis(life);
+  }
+
+  // ---- what the mixer meets, and what it asks ----
+
+  /** Discovery's list: of other boxes nothing is taken in. */
+  public void listed(Collection<Long> boxes) {
+    listed = new HashSet<>(boxes);
+    matters.keySet().retainAll(listed);
+  }
+
+  /** A trip ended: answered, or failed in a way that tells against the box. */
+  public void saw(long box, boolean answered) {
+    sight.add(box, answered ? 1 : 0, answered ? 0 : 1, host.now());
+  }
+
+  /** This mixer has benched a box, as it is silent. */
+  public void silent(long box) {
+    sight.add(box, 0, SILENCE_PARTS, host.now());
+  }
+
+  /**
+   * Whether this mixer may ask a benched box now: where its turn has come and nobody was heard to have asked in
+   * this round, or another had an answer. Alone, always.
+   */
+  public boolean turn(long box) {
+    List<PeerId> present = membership.present();
+    if (present.isEmpty() || membership.superseded()) {
+      return true;
+    }
+    Matter matter = matter(box);
+    if (matter.answered != null) {
+      return matter.answered.compareTo(host.now()) <= 0;
+    }
+    return matter.rota.due(mixers(), common()).compareTo(common()) <= 0;
+  }
+
+  /** This mixer asks a benched box now. */
+  public void asks(long box) {
+    Matter matter = matter(box);
+    matter.answered = null;
+    matter.round = matter.rota.acts(common());
+    count(Count.ASKED);
+    pass(new Note(self, life, box, matter.round, false));
+  }
+
+  /** What came of it. */
+  public void asked(long box, boolean answered) {
+    Matter matter = matters.get(box);
+    if (matter != null && matter.round != null) {
+      if (answered) {
+        pass(new Note(self, life, box, matter.round, true));
+      }
+      matter.round = null;
+    }
+  }
+
+  /** The share of a box's parts that fail as others see it: 0 where too few tell, or nothing does. */
+  public double doubt(long box) {
+    double failing = hearsay.failing(box, new Seen(0, 0), words.fresh(host.now()));
+    return Double.isNaN(failing) ? 0 : failing;
+  }
+
+  /** Parts a second that the whole fleet's clients ask for, as far as it is heard. */
+  public double demand() {
+    return hearsay.demand(sight.demand(host.now()), words.fresh(host.now()));
+  }
+
+  /** What this mixer saw of a box, as its next word would tell it. */
+  public Seen own(long box) {
+    return sight.of(box, host.now());
+  }
+
+  /** The words that count now. */
+  public List<Words.Kept> heard() {
+    return words.fresh(host.now());
+  }
+
+  /** It ends on purpose. */
+  public void leave() {
+    membership.leave();
+  }
+
+  public Membership membership() {
+    return membership;
+  }
+
+  /** Bytes sent so far, without those of the datagrams' own heads. */
+  public long bytes() {
+    return bytes;
+  }
+
+  public Map<Count, Long> counts() {
+    return new HashMap<>(counts);
+  }
+
+  private void count(Count which) {
+    counts.merge(which, 1L, Long::sum);
+  }
+}
--- /dev/null
+++ b/peers/src/main/java/gingerring/peers/Membership.java
@@ -0,0 +1,522 @@
+package gingerring.peers;
+
+import gingerring.peers.Standing.State;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * Who the other mixers are: SWIM (Das, Gupta and Motivala, DSN 2002) with the local health, the growing
+ * confidence in a suspicion and the word to the suspected first of Lifeguard (Dadgar, Phillips and Currey, DSN-W
+ * 2018). Its host calls {@link #begin} once, {@link #tick} some times within {@code Rules.ackIn}, {@link #heard}
+ * for each letter that was proved, {@link #news} for what the next letter is to carry; it acts by {@link Host}.
+ *
+ * <p>What a mixer does alone, at once: it asks one other each period, through helpers where that is silent, and
+ * suspects it where these are too. Who is suspected and lives says so with a higher rise. What is suspected long
+ * enough is gone, and comes back under the same name with a higher rise or a later life; words of an earlier life
+ * never count. Each half of a cut fleet takes the other for gone and asks one of the gone now and then, by which
+ * they find each other again. A process that learns of a later life under its own name is {@link #superseded}: it
+ * falls silent, so that of two with one name only the later speaks.
+ *
+ * <p>Bounds: {@code Rules.peersMost} peers, newcomers beyond are turned away and counted; as much news; four
+ * errands for others at once from any one peer, 64 in all. Memory: some 300 bytes a peer.
+ */
+public final class Membership {
+  /** How it sends and what it tells its owner. */
+  public interface Host {
+    Duration now();
+
+    /** Sends a letter, which may be lost. */
+    void send(Place to, Body body);
+
+    /** What is believed of one peer is new: it came, is suspected, is trusted again, has gone or left. */
+    void changed(Standing now);
+  }
+
+  /**
+   * {@code period}: between two asks; {@code ackIn}: how long an answer may take before helpers are asked;
+   * {@code helpers}: so many are; {@code reconnect}: how often one of the gone, or a place told at the start, is
+   * tried; {@code forget}: how long the gone are remembered; {@code peersMost}: how many are known at most.
+   */
+  public record Rules(Duration period, Duration ackIn, int helpers, Duration reconnect, Duration forget,
+      int peersMost) {
+    public Rules {
+      if (ackIn.isZero() || ackIn.isNegative() || period.compareTo(ackIn.multipliedBy(2)) < 0 || helpers < 0
+          || reconnect.compareTo(period) < 0 || peersMost < 1) {
+        throw new IllegalArgumentException("a period of " + period + ", answers in " + ackIn + ", " + helpers
+            + " helpers, one gone tried each " + reconnect + ", " + peersMost + " peers");
+      }
+    }
+
+    public static Rules usual() {
+      return new Rules(Duration.ofSeconds(1), Duration.ofMillis(300), 3, Duration.ofSeconds(5),
+          Duration.ofMinutes(10), 2000);
+    }
+  }
+
+  /** What happened, by cause. */
+  public enum Count {
+    /** Asks without any answer. */ UNANSWERED,
+    /** Suspicions raised here. */ SUSPECTED,
+    /** Taken for gone here. */ GONE,
+    /** Own suspicion spoken against. */ REFUTED,
+    /** Words of an earlier life or rise. */ STALE,
+    /** Newcomers beyond the bound. */ NO_ROOM,
+    /** Asks meant for another at this place. */ NOT_ME,
+    /** Errands beyond the bound. */ TOO_BUSY
+  }
+
+  private static final class Member {
+    Standing standing;
+    Duration since;
+    /** While suspected: who says so, and when it is gone. */
+    final Set<PeerId> accusers = new HashSet<>();
+
+    Member(Standing standing, Duration since) {
+      this.standing = standing;
+      this.since = since;
+    }
+  }
+
+  /** The ask that is out. */
+  private static final class Asking {
+    final PeerId peer;
+    final int number;
+    final Duration at;
+    final int health;
+    final Set<Place> helpers = new HashSet<>();
+    int nacked;
+    boolean helped;
+
+    Asking(PeerId peer, int number, Duration at, int health) {
+      this.peer = peer;
+      this.number = number;
+      this.at = at;
+      this.health = health;
+    }
+  }
+
+  /** An ask on another's behalf. */
+  private record Errand(Place back, int number, Duration at) {}
+
+  private static final int HEALTH_MOST = 8;
+  /** Lifeguard's alpha and beta: the least and the most of a suspicion, in periods by the fleet's logarithm. */
+  private static final double SUSPICION_LEAST = 4;
+  private static final double SUSPICION_MOST = 6;
+  /** So many others who suspect the same make a suspicion as short as it gets. */
+  private static final int CONFIRMERS = 2;
+  private static final double PASSED_ON = 4;
+  private static final int PAGE = 20;
+  private static final int ERRANDS_MOST = 64;
+  private static final int ERRANDS_EACH = 4;
+  private static final double NACK_AT = 0.8;
+  /** Asks for the end of the list: each page begins with who sends it. */
+  private static final long STRANGER = -1;
+
+  private final PeerId self;
+  private final Place here;
+  private final long life;
+  private final Rules rules;
+  private final RandomGenerator chance;
+  private final Host host;
+  private final NavigableMap<Long, Member> members = new TreeMap<>(Long::compareUnsigned);
+  private final Set<Member> suspects = new HashSet<>();
+  private final List<PeerId> order = new ArrayList<>();
+  private final Spread<PeerId, Standing> spread;
+  private final Map<Integer, Errand> errands = new HashMap<>();
+  private final Map<Count, Long> counts = new HashMap<>();
+  private List<Place> seeds = List.of();
+  private int there;
+  private int rise;
+  private int health;
+  private int numbers;
+  private Asking asking;
+  private Duration askNext;
+  private Duration reconnectNext;
+  private boolean superseded;
+  private boolean left;
+
+  /** {@code life}: as in {@link Standing}; {@code here}: where the others reach this mixer. */
+  public Membership(PeerId self, Place here, long life, Rules rules, RandomGenerator chance, Host host) {
+    this.self = self;
+    this.here = here;
+    this.life = life;
+    this.rules = rules;
+    this.chance = chance;
+    this.host = host;
+    spread = new Spread<>(rules.peersMost, PASSED_ON);
+  }
+
+  /** Joins by asking at some places whom they know; it goes on to ask there while nobody is known. */
+  public void begin(List<Place> places) {
+    seeds = places.stream().filter(place -> !place.equals(here)).toList();
+    Duration now = host.now();
+    askNext = now.plus(part(rules.period));
+    reconnectNext = now.plus(part(rules.period));
+    spread.add(self, own());
+    for (int i = 0; i < Math.min(3, seeds.size()); i++) {
+      host.send(seeds.get(chance.nextInt(seeds.size())), new Body.Ask(0));
+    }
+  }
+
+  private Duration part(Duration span) {
+    return Duration.ofNanos(chance.nextLong(span.toNanos()));
+  }
+
+  private Standing own() {
+    return new Standing(self, here, life, rise, left ? State.LEFT : State.HERE, self);
+  }
+
+  /** Time has passed. */
+  public void tick() {
+    if (superseded || left) {
+      return;
+    }
+    Duration now = host.now();
+    for (Member each : List.copyOf(suspects)) {
+      if (now.minus(each.since).compareTo(suspicion(each)) >= 0) {
+        count(Count.GONE);
+        take(each.standing.as(State.GONE, self), now);
+      }
+    }
+    errands.values().removeIf(errand -> {
+      boolean late = now.minus(errand.at).toNanos() >= NACK_AT * rules.ackIn.toNanos();
+      if (late) {
+        host.send(errand.back, new Body.Nack(errand.number));
+      }
+      return late;
+    });
+    ask(now);
+    if (now.compareTo(reconnectNext) >= 0) {
+      reconnectNext = now.plus(rules.reconnect.dividedBy(2)).plus(part(rules.reconnect));
+      reconnect(now);
+    }
+  }
+
+  /** The periodic ask: first straight, then through helpers, then a suspicion. */
+  private void ask(Duration now) {
+    if (asking != null) {
+      Duration allowed = rules.ackIn.multipliedBy(1L + asking.health);
+      if (!asking.helped && now.minus(asking.at).compareTo(allowed) >= 0) {
+        asking.helped = true;
+        Standing target = members.get(asking.peer.number()) == null ? null
+            : members.get(asking.peer.number()).standing;
+        if (target != null) {
+          for (Standing helper : some(rules.helpers, asking.peer)) {
+            asking.helpers.add(helper.place());
+            host.send(helper.place(), new Body.Help(asking.number, target.peer(), target.place()));
+          }
+        }
+      }
+      if (now.minus(asking.at).compareTo(rules.period.multipliedBy(1L + asking.health)) >= 0) {
+        Asking failed = asking;
+        asking = null;
+        count(Count.UNANSWERED);
+        // helpers that say nothing either are a sign that it is this mixer that hears late
+        worse(failed.helpers.isEmpty() ? 1 : failed.helpers.size() - failed.nacked);
+        suspect(failed.peer, now);
+      }
+    }
+    if (asking == null && now.compareTo(askNext) >= 0) {
+      askNext = now.plus(rules.period);
+      Standing next = next();
+      if (next != null) {
+        asking = new Asking(next.peer(), ++numbers, now, health);
+        if (next.state() == State.SUSPECTED) {
+          spread.add(next.peer(), next); // it is to hear of it first from whom it can answer
+        }
+        host.send(next.place(), new Body.Ping(asking.number, next.peer()));
+      }
+    }
+  }
+
+  /** Each in turn, in an order that is drawn anew when all have been asked. */
+  private Standing next() {
+    for (int tries = members.size() + 1; tries > 0; tries--) {
+      if (order.isEmpty()) {
+        members.values().forEach(each -> order.add(each.standing.peer()));
+        for (int i = order.size() - 1; i > 0; i--) {
+          PeerId last = order.get(i);
+          int other = chance.nextInt(i + 1);
+          order.set(i, order.get(other));
+          order.set(other, last);
+        }
+      }
+      if (order.isEmpty()) {
+        return null;
+      }
+      Member member = members.get(order.remove(order.size() - 1).number());
+      if (member != null && member.standing.there()) {
+        return member.standing;
+      }
+    }
+    return null;
+  }
+
+  /** So many of those who are here, by chance, but that one. */
+  private List<Standing> some(int count, PeerId but) {
+    List<Standing> here = new ArrayList<>();
+    members.values().forEach(each -> {
+      if (each.standing.state() == State.HERE && !each.standing.peer().equals(but)) {
+        here.add(each.standing);
+      }
+    });
+    List<Standing> some = new ArrayList<>();
+    while (some.size() < count && !here.isEmpty()) {
+      some.add(here.remove(chance.nextInt(here.size())));
+    }
+    return some;
+  }
+
+  /** So many of those who are here, by chance, for a word. */
+  public List<Standing> some(int count) {
+    return superseded || left ? List.of() : some(count, self);
+  }
+
+  private void suspect(PeerId peer, Duration now) {
+    Member member = members.get(peer.number());
+    if (member != null && member.standing.there()) {
+      if (member.standing.state() == State.HERE) {
+        count(Count.SUSPECTED);
+      }
+      take(member.standing.as(State.SUSPECTED, self), now);
+    }
+  }
+
+  /** Between the least and the most, the shorter the more others suspect the same (Lifeguard, IV.B). */
+  private Duration suspicion(Member member) {
+    double least = SUSPICION_LEAST * Math.max(1, Math.log10(Math.max(1, there))) * rules.period.toNanos();
+    int wanted = Math.min(CONFIRMERS, there - 2);
+    if (wanted < 1) {
+      return Duration.ofNanos((long) least);
+    }
+    double share = Math.log(member.accusers.size()) / Math.log(wanted + 1.0); // the first accuser is no confirmer
+    return Duration.ofNanos((long) Math.max(least, least * SUSPICION_MOST * (1 - share)));
+  }
+
+  /** One of the gone, or a place told at the start, is asked whom it knows: so halves of a fleet meet again. */
+  private void reconnect(Duration now) {
+    members.values().removeIf(each -> !each.standing.there()
+        && now.minus(each.since).compareTo(rules.forget) > 0);
+    List<Place> places = new ArrayList<>();
+    members.values().forEach(each -> {
+      if (each.standing.state() == State.GONE) {
+        places.add(each.standing.place());
+      }
+    });
+    if (there == 0 || places.isEmpty()) {
+      places.addAll(seeds);
+    }
+    if (!places.isEmpty()) {
+      host.send(places.get(chance.nextInt(places.size())), new Body.Ask(0));
+    }
+  }
+
+  private void worse(int steps) {
+    health = Math.max(0, Math.min(HEALTH_MOST, health + steps));
+  }
+
+  /** A letter has come that was proved to be of the fleet. */
+  public void heard(PeerId author, Place from, Body body, Collection<Standing> news) {
+    if (superseded || left) {
+      return;
+    }
+    Duration now = host.now();
+    news.forEach(each -> take(each, now));
+    if (!members.containsKey(author.number()) && !(body instanceof Body.Ask) && !(body instanceof Body.Page)) {
+      // whose own word was lost, or has been forgotten: it is to say who it is
+      host.send(from, new Body.Ask(STRANGER));
+    }
+    if (body instanceof Body.Ping ping) {
+      if (ping.peer().equals(self)) {
+        host.send(from, new Body.Ack(ping.number()));
+      } else {
+        count(Count.NOT_ME); // the place was another's before
+      }
+    } else if (body instanceof Body.Ack ack) {
+      acked(author, ack, now);
+    } else if (body instanceof Body.Nack nack) {
+      if (asking != null && nack.number() == asking.number && asking.helpers.remove(from)) {
+        asking.nacked++;
+      }
+    } else if (body instanceof Body.Help help) {
+      help(from, help, now);
+    } else if (body instanceof Body.Ask question) {
+      host.send(from, page(question.from()));
+    } else if (body instanceof Body.Page page) {
+      page.standings().forEach(each -> take(each, now));
+      if (page.next() != 0) {
+        host.send(from, new Body.Ask(page.next()));
+      }
+    }
+  }
+
+  private void acked(PeerId author, Body.Ack ack, Duration now) {
+    Errand errand = errands.remove(ack.number());
+    if (errand != null) {
+      host.send(errand.back, new Body.Ack(errand.number));
+    }
+    // through a helper the number alone tells: a helper that lies can hide that a peer is gone, for a while
+    if (asking != null && ack.number() == asking.number) {
+      if (asking.peer.equals(author) || asking.helped) {
+        asking = null;
+        worse(-1);
+      }
+    }
+  }
+
+  private void help(Place from, Body.Help help, Duration now) {
+    long his = errands.values().stream().filter(errand -> errand.back.equals(from)).count();
+    if (errands.size() >= ERRANDS_MOST || his >= ERRANDS_EACH) {
+      count(Count.TOO_BUSY);
+      return;
+    }
+    errands.put(++numbers, new Errand(from, help.number(), now));
+    host.send(help.place(), new Body.Ping(numbers, help.peer()));
+  }
+
+  private Body.Page page(long from) {
+    List<Standing> page = new ArrayList<>();
+    page.add(own());
+    long next = 0;
+    for (Member each : members.tailMap(from, true).values()) {
+      if (page.size() > PAGE) {
+        next = each.standing.peer().number();
+        break;
+      }
+      page.add(each.standing);
+    }
+    return new Body.Page(page, next);
+  }
+
+  /** Takes in what is believed of one peer, if it holds over what was. */
+  private void take(Standing told, Duration now) {
+    if (told.peer().equals(self)) {
+      aboutSelf(told);
+      return;
+    }
+    Member member = members.get(told.peer().number());
+    if (member == null) {
+      if (members.size() >= rules.peersMost && !makeRoom()) {
+        count(Count.NO_ROOM);
+        return;
+      }
+      member = new Member(told, now);
+      members.put(told.peer().number(), member);
+      moved(member, null, now);
+      return;
+    }
+    Standing before = member.standing;
+    boolean sameSuspicion = told.state() == State.SUSPECTED && before.state() == State.SUSPECTED
+        && told.life() == before.life() && told.rise() == before.rise();
+    if (sameSuspicion) {
+      if (member.accusers.size() <= CONFIRMERS && member.accusers.add(told.by())) {
+        spread.add(told.peer(), told); // a further accuser is news
+      }
+    } else if (told.over(before)) {
+      member.standing = told;
+      moved(member, before, now);
+    } else if (!told.equals(before)) {
+      count(Count.STALE);
+    }
+  }
+
+  /** The one gone or left for longest makes room for a newcomer. */
+  private boolean makeRoom() {
+    Member oldest = null;
+    for (Member each : members.values()) {
+      if (!each.standing.there() && (oldest == null || each.since.compareTo(oldest.since) < 0)) {
+        oldest = each;
+      }
+    }
+    return oldest != null && members.remove(oldest.standing.peer().number()) != null;
+  }
+
+  private void moved(Member member, Standing before, Duration now) {
+    Standing standing = member.standing;
+    member.since = now;
+    member.accusers.clear();
+    if (standing.state() == State.SUSPECTED) {
+      suspects.add(member);
+      member.accusers.add(standing.by());
+    } else {
+      suspects.remove(member);
+    }
+    there += (standing.there() ? 1 : 0) - (before != null && before.there() ? 1 : 0);
+    if (before == null && standing.there()) {
+      order.add(order.isEmpty() ? 0 : chance.nextInt(order.size()), standing.peer());
+    }
+    spread.add(standing.peer(), standing);
+    if (before == null || before.state() != standing.state() || before.life() != standing.life()) {
+      host.changed(standing);
+    }
+  }
+
+  private void aboutSelf(Standing told) {
+    if (told.life() > life) {
+      superseded = true;
+    } else if (told.life() == life && told.state() != State.HERE && told.rise() >= rise) {
+      rise = told.rise() + 1;
+      count(Count.REFUTED);
+      worse(1); // suspected though it lives: it may hear late
+      spread.add(self, own());
+    }
+  }
+
+  /** It ends on purpose: says so to some, who pass it on. */
+  public void leave() {
+    left = true;
+    spread.add(self, own());
+    for (Standing each : some(rules.helpers + 1, self)) {
+      host.send(each.place(), new Body.Page(List.of(own()), 0));
+    }
+  }
+
+  /** News for the next letter, so many at most. */
+  public List<Standing> news(int most) {
+    return spread.take(most, there + 1);
+  }
+
+  /** All that is known of the others, by their numbers. */
+  public List<Standing> all() {
+    return members.values().stream().map(each -> each.standing).toList();
+  }
+
+  /** Those who are there, suspected ones among them: who may hold a turn. */
+  public List<PeerId> present() {
+    return members.values().stream().map(each -> each.standing).filter(Standing::there).map(Standing::peer)
+        .toList();
+  }
+
+  /** The life that is believed of one who is there; 0 for others. */
+  public long life(PeerId peer) {
+    Member member = members.get(peer.number());
+    return member != null && member.standing.there() ? member.standing.life() : 0;
+  }
+
+  /** Whether a later life under the own name is about. */
+  public boolean superseded() {
+    return superseded;
+  }
+
+  /** From 0, hears in time, to {@value #HEALTH_MOST}. */
+  public int health() {
+    return health;
+  }
+
+  public long count(Enum<Count> which) {
+    return counts.getOrDefault(which, 0L);
+  }
+
+  private void count(Count which) {
+    counts.merge(which, 1L, Long::sum);
+  }
+}
--- /dev/null
+++ b/peers/src/main/java/gingerring/peers/Sight.java
@@ -0,0 +1,106 @@
+package gingerring.peers;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What this mixer itself saw of each box of late, in buckets of a ring, and which of it is worth telling first: the
+ * boxes that failed, then those that answered most. At most {@code boxesMost} boxes: what was seen of others is not
+ * kept, and counted. 16 bytes a box and bucket.
+ */
+final class Sight {
+  private static final int BUCKETS = 5;
+
+  private static final class Ring {
+    final double[] answered = new double[BUCKETS];
+    final double[] failed = new double[BUCKETS];
+    long newest = Long.MIN_VALUE;
+  }
+
+  private final long width;
+  private final int boxesMost;
+  private final Map<Long, Ring> rings = new HashMap<>();
+  private long unkept;
+
+  /** {@code span}: how far back it sees. */
+  Sight(Duration span, int boxesMost) {
+    width = Math.max(1, span.toNanos() / BUCKETS);
+    this.boxesMost = boxesMost;
+  }
+
+  void add(long box, double answered, double failed, Duration now) {
+    Ring ring = rings.get(box);
+    if (ring == null) {
+      if (rings.size() >= boxesMost) {
+        unkept++;
+        return;
+      }
+      ring = new Ring();
+      rings.put(box, ring);
+    }
+    turn(ring, now);
+    int bucket = (int) Math.floorMod(ring.newest, (long) BUCKETS);
+    ring.answered[bucket] += answered;
+    ring.failed[bucket] += failed;
+  }
+
+  private void turn(Ring ring, Duration now) {
+    long bucket = now.toNanos() / width;
+    for (long next = Math.max(ring.newest + 1, bucket - BUCKETS + 1); next <= bucket; next++) {
+      ring.answered[(int) Math.floorMod(next, (long) BUCKETS)] = 0;
+      ring.failed[(int) Math.floorMod(next, (long) BUCKETS)] = 0;
+    }
+    ring.newest = Math.max(ring.newest, bucket);
+  }
+
+  /** Of one box; nothing where nothing was seen. */
+  Seen of(long box, Duration now) {
+    Ring ring = rings.get(box);
+    if (ring == null) {
+      return new Seen(0, 0);
+    }
+    turn(ring, now);
+    double answered = 0;
+    double failed = 0;
+    for (int i = 0; i < BUCKETS; i++) {
+      answered += ring.answered[i];
+      failed += ring.failed[i];
+    }
+    return new Seen(answered, failed);
+  }
+
+  /** What to tell, of so many boxes at most; what was seen of none is forgotten. */
+  Map<Long, Seen> worth(int boxes, Duration now) {
+    Map<Long, Seen> all = new HashMap<>();
+    rings.keySet().removeIf(box -> {
+      Seen seen = of(box, now);
+      if (seen.parts() > 0) {
+        all.put(box, seen);
+      }
+      return seen.parts() == 0;
+    });
+    if (all.size() <= boxes) {
+      return all;
+    }
+    List<Map.Entry<Long, Seen>> order = new ArrayList<>(all.entrySet());
+    order.sort(Comparator.<Map.Entry<Long, Seen>>comparingDouble(each -> -each.getValue().failed())
+        .thenComparingDouble(each -> -each.getValue().answered()).thenComparing(Map.Entry::getKey));
+    Map<Long, Seen> first = new HashMap<>();
+    order.subList(0, boxes).forEach(each -> first.put(each.getKey(), each.getValue()));
+    return first;
+  }
+
+  /** Parts ended a second, over what it sees back. */
+  double demand(Duration now) {
+    double parts = rings.keySet().stream().mapToDouble(box -> of(box, now).parts()).sum();
+    return parts / (width * BUCKETS / 1e9);
+  }
+
+  long unkept() {
+    return unkept;
+  }
+}
--- a/peers/src/main/java/gingerring/peers/package-info.java
+++ b/peers/src/main/java/gingerring/peers/package-info.java
@@ -1,8 +1,10 @@
 /**
- * What the other mixers say, and how much it weighs. A word says what its author saw, never what its reader
- * is to do; only its author changes it; it carries the author's life and number, and it ages ({@link
- * gingerring.peers.Words}). Each reader bounds what any few of them can move ({@link
- * gingerring.peers.Hearsay}). No I/O, thread or clock: a transport stands beside this package and is told
- * nothing of it. A mixer may call it through its host; it must never depend on one.
+ * Who the other mixers are, what they say, and how much it weighs. {@link gingerring.peers.Company} is one mixer
+ * among its peers, and what a program calls; it stands on {@link gingerring.peers.Membership} (who is there),
+ * {@link gingerring.peers.Words} and {@link gingerring.peers.Hearsay} (what they say), {@link
+ * gingerring.peers.Letters} and {@link gingerring.peers.Seal} (bytes and their proof), and on the turns of
+ * {@code share}. A word says what its author saw, never what its reader is to do; it carries the author's life and
+ * number, and it ages. Each reader bounds what any few of them can move. No I/O, thread or clock: datagrams come
+ * in as bytes and leave through a host. It must never depend on a mixer.
  */
 package gingerring.peers;
--- /dev/null
+++ b/peers/src/test/java/gingerring/peers/MembershipTest.java
@@ -0,0 +1,240 @@
+package gingerring.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gingerring.peers.Standing.State;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** One membership by itself, letter by letter. Fleets of them are played in the emulator's SocietyTest. */
+class MembershipTest {
+  private static final PeerId SELF = new PeerId(100);
+  private static final Place HERE = place(100);
+  private static final long LIFE = 50;
+
+  private final List<Body> sent = new ArrayList<>();
+  private final List<Place> to = new ArrayList<>();
+  private final List<Standing> changes = new ArrayList<>();
+  private Duration now = Duration.ZERO;
+  private final Membership membership = new Membership(SELF, HERE, LIFE, Membership.Rules.usual(),
+      new SplittableRandom(1), new Membership.Host() {
+        @Override public Duration now() {
+          return now;
+        }
+
+        @Override public void send(Place place, Body body) {
+          to.add(place);
+          sent.add(body);
+        }
+
+        @Override public void changed(Standing standing) {
+          changes.add(standing);
+        }
+      });
+
+  private static Place place(int port) {
+    return new Place(0x7F000001, port);
+  }
+
+  private static Standing here(int peer, long life, int rise, State state) {
+    return new Standing(new PeerId(peer), place(peer), life, rise, state, new PeerId(peer));
+  }
+
+  private void told(Standing... standings) {
+    membership.heard(new PeerId(1), place(1), new Body.Pass(), List.of(standings));
+  }
+
+  private void pass(long ms) {
+    for (long i = 0; i < ms; i += 50) {
+      now = now.plusMillis(50);
+      membership.tick();
+    }
+  }
+
+  private State state(int peer) {
+    return membership.all().stream().filter(each -> each.peer().number() == peer).map(Standing::state).findFirst()
+        .orElse(null);
+  }
+
+  private <T extends Body> List<T> sent(Class<T> kind) {
+    return sent.stream().filter(kind::isInstance).map(kind::cast).collect(Collectors.toList());
+  }
+
+  @Test void asksThroughHelpersBeforeItSuspects() {
+    membership.begin(List.of());
+    told(here(1, 1, 0, State.HERE), here(2, 1, 0, State.HERE), here(3, 1, 0, State.HERE));
+    while (sent(Body.Ping.class).isEmpty()) {
+      pass(50);
+    }
+    Body.Ping ping = sent(Body.Ping.class).get(0);
+    int asked = (int) ping.peer().number();
+    pass(300);
+    List<Body.Help> helps = sent(Body.Help.class);
+    assertEquals(2, helps.size()); // all others
+    assertTrue(helps.stream().allMatch(help -> help.peer().number() == asked && help.number() == ping.number()));
+    assertEquals(State.HERE, state(asked));
+    // a helper had its answer: nothing is suspected
+    int helper = asked == 1 ? 2 : 1;
+    membership.heard(new PeerId(helper), place(helper), new Body.Ack(ping.number()), List.of());
+    pass(700);
+    assertEquals(State.HERE, state(asked));
+    assertEquals(0, membership.count(Membership.Count.SUSPECTED));
+  }
+
+  @Test void whoSaysNothingIsSuspectedAndThenGone() {
+    membership.begin(List.of());
+    told(here(1, 1, 0, State.HERE));
+    pass(2500);
+    assertEquals(State.SUSPECTED, state(1));
+    assertTrue(membership.present().contains(new PeerId(1)), "a suspicion is no verdict");
+    pass(10_000);
+    assertEquals(State.GONE, state(1));
+    assertEquals(List.of(), membership.present());
+    // it is not forgotten: now and then it is asked whom it knows
+    sent.clear();
+    pass(15_000);
+    assertFalse(sent(Body.Ask.class).isEmpty());
+    // it says that it lives: with a higher rise of the same life, and with a new life
+    told(here(1, 1, 0, State.HERE));
+    assertEquals(State.GONE, state(1), "an old word");
+    told(here(1, 1, 1, State.HERE));
+    assertEquals(State.HERE, state(1));
+    told(here(1, 2, 0, State.HERE));
+    told(here(1, 1, 9, State.GONE));
+    assertEquals(State.HERE, state(1), "a word of an earlier life");
+  }
+
+  @Test void speaksAgainstItsOwnSuspicion() {
+    membership.begin(List.of());
+    told(here(1, 1, 0, State.HERE), new Standing(SELF, HERE, LIFE, 0, State.SUSPECTED, new PeerId(1)));
+    Standing own = membership.news(10).stream().filter(each -> each.peer().equals(SELF)).findFirst().orElseThrow();
+    assertEquals(State.HERE, own.state());
+    assertEquals(1, own.rise());
+    assertEquals(1, membership.health());
+    told(new Standing(SELF, HERE, LIFE, 0, State.GONE, new PeerId(1)));
+    assertEquals(1, membership.count(Membership.Count.REFUTED), "that was answered before");
+  }
+
+  /** Others who suspect the same shorten a suspicion; the same one saying it again does not. */
+  @Test void aSuspicionGrowsSureByOthers() {
+    membership.begin(List.of());
+    for (int i = 1; i < 8; i++) {
+      told(here(i, 1, 0, State.HERE));
+    }
+    Standing suspected = here(5, 1, 0, State.SUSPECTED);
+    told(new Standing(suspected.peer(), suspected.place(), 1, 0, State.SUSPECTED, new PeerId(2)));
+    for (int i = 0; i < 5; i++) {
+      told(new Standing(suspected.peer(), suspected.place(), 1, 0, State.SUSPECTED, new PeerId(2)));
+    }
+    now = now.plusMillis(5000);
+    membership.tick();
+    assertEquals(State.SUSPECTED, state(5));
+    told(new Standing(suspected.peer(), suspected.place(), 1, 0, State.SUSPECTED, new PeerId(3)));
+    told(new Standing(suspected.peer(), suspected.place(), 1, 0, State.SUSPECTED, new PeerId(4)));
+    membership.tick();
+    assertEquals(State.GONE, state(5));
+  }
+
+  @Test void ofTwoWithOneNameTheEarlierFallsSilent() {
+    membership.begin(List.of(place(1)));
+    told(here(1, 1, 0, State.HERE), new Standing(SELF, place(9), LIFE + 1, 0, State.HERE, SELF));
+    assertTrue(membership.superseded());
+    sent.clear();
+    pass(20_000);
+    membership.heard(new PeerId(1), place(1), new Body.Ping(1, SELF), List.of());
+    assertEquals(List.of(), sent);
+  }
+
+  /** Whose own first word was lost is asked who it is as soon as it says anything. */
+  @Test void whoIsUnknownIsAskedWhoItIs() {
+    membership.begin(List.of());
+    membership.heard(new PeerId(9), place(9), new Body.Pass(), List.of());
+    assertEquals(List.of(place(9)), to);
+    assertEquals(1, sent(Body.Ask.class).size());
+    membership.heard(new PeerId(9), place(9), new Body.Page(List.of(here(9, 3, 0, State.HERE)), 0), List.of());
+    assertEquals(3, membership.life(new PeerId(9)));
+  }
+
+  /** An address that is another's by now does not answer for whom it was before. */
+  @Test void answersForItselfAlone() {
+    membership.heard(new PeerId(1), place(1), new Body.Ping(1, new PeerId(99)), List.of());
+    assertEquals(List.of(), sent(Body.Ack.class));
+    assertEquals(1, membership.count(Membership.Count.NOT_ME));
+    membership.heard(new PeerId(1), place(1), new Body.Ping(2, SELF), List.of());
+    assertEquals(List.of(new Body.Ack(2)), sent(Body.Ack.class));
+  }
+
+  @Test void helpsAndSaysWhereItCannot() {
+    membership.begin(List.of());
+    membership.heard(new PeerId(1), place(1), new Body.Help(7, new PeerId(2), place(2)), List.of());
+    Body.Ping ping = sent(Body.Ping.class).get(0);
+    membership.heard(new PeerId(2), place(2), new Body.Ack(ping.number()), List.of());
+    assertEquals(new Body.Ack(7), sent.get(sent.size() - 1));
+    membership.heard(new PeerId(1), place(1), new Body.Help(8, new PeerId(2), place(2)), List.of());
+    pass(300);
+    assertTrue(sent.contains(new Body.Nack(8)));
+    // one peer has so many errands open at once, and no more
+    for (int i = 0; i < 20; i++) {
+      membership.heard(new PeerId(1), place(1), new Body.Help(100 + i, new PeerId(2), place(2)), List.of());
+    }
+    assertEquals(16, membership.count(Membership.Count.TOO_BUSY));
+  }
+
+  @Test void pagesTellOfAllInTurn() {
+    for (int i = 1; i <= 50; i++) {
+      told(here(i, 1, 0, State.HERE));
+    }
+    long from = 0;
+    Set<PeerId> told = new HashSet<>();
+    do {
+      membership.heard(new PeerId(1), place(1), new Body.Ask(from), List.of());
+      Body.Page page = (Body.Page) sent.get(sent.size() - 1);
+      assertEquals(SELF, page.standings().get(0).peer(), "each page begins with who sends it");
+      page.standings().forEach(each -> told.add(each.peer()));
+      from = page.next();
+    } while (from != 0);
+    assertEquals(51, told.size());
+  }
+
+  @Test void knowsSoManyAndTheGoneMakeRoom() {
+    Membership.Rules usual = Membership.Rules.usual();
+    Membership small = new Membership(SELF, HERE, LIFE, new Membership.Rules(usual.period(), usual.ackIn(), 3,
+        usual.reconnect(), usual.forget(), 3), new SplittableRandom(1), new Membership.Host() {
+          @Override public Duration now() {
+            return now;
+          }
+
+          @Override public void send(Place place, Body body) {}
+
+          @Override public void changed(Standing standing) {}
+        });
+    for (int i = 1; i <= 4; i++) {
+      small.heard(new PeerId(1), place(1), new Body.Pass(), List.of(here(i, 1, 0, State.HERE)));
+    }
+    assertEquals(3, small.all().size());
+    assertEquals(1, small.count(Membership.Count.NO_ROOM));
+    small.heard(new PeerId(1), place(1), new Body.Pass(),
+        List.of(here(2, 1, 0, State.GONE), here(4, 1, 0, State.HERE)));
+    assertEquals(List.of(new PeerId(1), new PeerId(3), new PeerId(4)), small.present());
+  }
+
+  @Test void whoLeavesSaysSoAndIsSilent() {
+    membership.begin(List.of());
+    told(here(1, 1, 0, State.HERE), here(2, 1, 0, State.HERE));
+    membership.leave();
+    List<Body.Page> words = sent(Body.Page.class);
+    assertEquals(2, words.size());
+    assertEquals(State.LEFT, words.get(0).standings().get(0).state());
+    sent.clear();
+    pass(5000);
+    assertEquals(List.of(), sent);
+  }
+}
