--- a/cli/src/main/java/gingerring/cli/FleetCommand.java
+++ b/cli/src/main/java/gingerring/cli/FleetCommand.java
@@ -1,7 +1,11 @@
 package gingerring.cli;
 
 import gingerring.emulator.fleet.Choices;
+import gingerring.emulator.core.World;
 import gingerring.emulator.fleet.Probes;
+import gingerring.emulator.fleet.Society;
+import gingerring.emulator.rig.Fleet;
+import gingerring.emulator.rig.Plan;
 import gingerring.emulator.run.Charts;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -9,24 +13,27 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
 /** What many mixers' choices add up to, in simulated time. */
 @Command(name = "fleet", mixinStandardHelpOptions = true,
-    description = "Plays many mixers' choices in simulated time; the same seed gives the same tables.")
+    description = "Plays many mixers in simulated time, or as processes; the same seed gives the same schedule.")
 final class FleetCommand implements Runnable {
   @Spec private CommandSpec spec;
 
   @Override public void run() {
-    throw new ParameterException(spec.commandLine(), "a command is needed: choices, probes");
+    throw new ParameterException(spec.commandLine(), "a command is needed: choices, probes, talk, run");
   }
 
   /** One table on the terminal, and as CSV and chart where a folder is given. */
@@ -60,6 +67,9 @@
       if (folder != null) {
         Files.createDirectories(folder);
         Files.write(folder.resolve(name + ".csv"), rows);
+        if (title == null) {
+          return;
+        }
         Charts.lines(folder.resolve(name + ".png"), title + " (simulated time)", "mixers, power of ten",
             what, series);
       }
@@ -146,6 +156,104 @@
     table.write(folder, "probes", "Probes of one benched box", "probes a second, power of ten");
   }
 
+  @Command(name = "talk", mixinStandardHelpOptions = true,
+      description = "What mixers that talk know, send and ask, with faults by message, in simulated time.")
+  void talk(
+      @Option(names = "--mixers", split = ",", defaultValue = "10,32,100,320", description = "Fleet sizes.")
+      int[] sizes,
+      @Option(names = "--seconds", defaultValue = "90", description = "Simulated seconds.") double seconds,
+      @Option(names = "--seeds", defaultValue = "3", description = "So many seeds from 1 on; worst are told.")
+      int seeds,
+      @Option(names = "--out", description = "A folder for table and chart.") Path folder)
+      throws IOException {
+    least("--mixers", Arrays.stream(sizes).min().orElse(0), 4);
+    least("--seeds", seeds, 1);
+    Table table = new Table("mixers", "case", "bytes/s mean", "bytes/s most", "known s", "wrongly gone", "strangers",
+        "asks/s a box", "found s", "all found s", "doubt of sound", "demand x");
+    for (int size : sizes) {
+      for (Map.Entry<String, List<Society.Fault>> each : cases(size, seconds).entrySet()) {
+        double[] worst = new double[10];
+        for (int seed = 1; seed <= seeds; seed++) {
+          Society.Result result = Society.of(Society.Setup.usual(size, seconds, seed, each.getValue()));
+          double asks = 0;
+          for (int second = 30; second < 50; second++) {
+            asks += result.asks.getOrDefault(second, 0) / 20.0 / 2;
+          }
+          double[] now = {
+              result.bytes.stream().skip(10).mapToDouble(bytes -> bytes[1]).average().orElse(0),
+              result.bytes.stream().skip(10).mapToDouble(bytes -> bytes[0]).max().orElse(0),
+              result.known.stream().mapToDouble(ms -> ms / 1000).filter(s -> !Double.isNaN(s)).max().orElse(0),
+              result.wronglyGone, result.strangers, asks,
+              result.found.stream().mapToDouble(found -> found[0] / 1000).filter(Double::isFinite).max().orElse(0),
+              result.found.stream().mapToDouble(found -> found[1] / 1000).filter(Double::isFinite).max().orElse(0),
+              result.doubtOfAlive, result.demand};
+          for (int i = 0; i < now.length; i++) {
+            worst[i] = Math.max(worst[i], now[i]);
+          }
+        }
+        table.row(size, each.getKey(), worst[0], worst[1], worst[2], (int) worst[3], (int) worst[4], worst[5],
+            worst[6], worst[7], worst[8], worst[9]);
+        table.point(each.getKey(), size, worst[0]);
+      }
+    }
+    table.write(folder, "talk", "What a mixer sends its peers", "bytes a second, mean");
+  }
+
+  /** Cases by name: two boxes are dead from 20 to 60 s in all but the first. */
+  private static Map<String, List<Society.Fault>> cases(int size, double seconds) {
+    Society.Fault dead = fault(Society.Fault.Kind.BOXES_DEAD, 20_000, 40_000, Society.range(1, 2));
+    Map<String, List<Society.Fault>> cases = new LinkedHashMap<>();
+    cases.put("calm", List.of());
+    cases.put("boxes dead", List.of(dead));
+    cases.put("one gone", List.of(dead, fault(Society.Fault.Kind.KILL, 25_000, 1e9, Society.range(3, 1))));
+    cases.put("7/10 killed", List.of(dead,
+        fault(Society.Fault.Kind.KILL, 30_000, 900, Society.range(size - size * 7 / 10, size * 7 / 10))));
+    cases.put("halves", List.of(dead, new Society.Fault(Society.Fault.Kind.CUT, 25_000, 20_000,
+        Society.range(0, size / 2), Society.range(size / 2, size - size / 2), 0)));
+    cases.put("stopped", List.of(dead, fault(Society.Fault.Kind.STOP, 30_000, 10_000, Society.range(1, 2))));
+    cases.put("one lies", List.of(dead, fault(Society.Fault.Kind.LIE, 0, 1e9, Society.range(3, 1))));
+    cases.put("3/16 lie", List.of(dead, fault(Society.Fault.Kind.LIE, 0, 1e9,
+        Society.range(1, Math.max(1, size * 3 / 16)))));
+    cases.put("greed", List.of(dead, fault(Society.Fault.Kind.GREED, 0, 1e9, Society.range(3, 1))));
+    cases.put("repeats", List.of(dead, fault(Society.Fault.Kind.REPEAT, 0, 1e9, Society.range(3, 1))));
+    cases.put("false claims", List.of(dead, fault(Society.Fault.Kind.CLAIM, 0, 1e9, Society.range(3, 1))));
+    return cases;
+  }
+
+  private static Society.Fault fault(Society.Fault.Kind kind, double at, double span, Set<Integer> some) {
+    return new Society.Fault(kind, at, span, some, Set.of(), 0);
+  }
+
+  @Command(name = "run", mixinStandardHelpOptions = true,
+      description = "Starts real mixers as processes before an emulated store, with faults on every link.")
+  int run(@Parameters(paramLabel = "FILE", description = "the run, described in JSON; several are played in turn")
+      List<Path> files,
+      @Option(names = "--out", description = "A folder for the table.") Path folder) throws IOException {
+    Table table = new Table("run", "mixers", "peers", "service", "rules broken", "excused", "crashes", "asks",
+        "lines made", "lines most", "list calls", "largest/mean", "bytes/s/mixer", "there least");
+    boolean broken = false;
+    for (Path file : files) {
+      Plan plan;
+      try {
+        plan = Plan.read(Files.readAllBytes(file));
+      } catch (World.Unfit e) {
+        throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
+      }
+      Fleet.Result result = Fleet.of(plan);
+      broken |= result.referee.fouls() > 0 || !result.crashes.isEmpty();
+      String name = file.getFileName().toString().replaceAll("\\.json$", "");
+      table.row(name, plan.mixers(), plan.peers(), result.tally.service(), result.referee.fouls(),
+          (int) result.referee.excused(), result.crashes.size(), result.probes(0, Integer.MAX_VALUE),
+          (int) result.connections[0], (int) result.connections[1], (int) result.listCalls,
+          result.largestOverMean(), result.letters[1] / result.seconds / plan.mixers(),
+          result.present.stream().mapToInt(Integer::intValue).min().orElse(0));
+      result.referee.shown().forEach(foul -> spec.commandLine().getErr().println(name + ": " + foul));
+      result.crashes.forEach(crash -> spec.commandLine().getErr().println(name + ": " + crash));
+    }
+    table.write(folder, "fleet-run", null, null);
+    return broken ? Gingerring.VERDICT : 0;
+  }
+
   private static void least(String name, int value, int least) {
     if (value < least) {
       throw new IllegalArgumentException(name + " is " + value + ", and has to be " + least + " or more");
--- a/cli/src/main/java/gingerring/cli/Gingerring.java
+++ b/cli/src/main/java/gingerring/cli/Gingerring.java
@@ -18,7 +18,7 @@
 @Command(name = "gingerring", mixinStandardHelpOptions = true, version = "gingerring 0.2.0-SNAPSHOT",
     description = "A query router in front of a sharded, replicated store.",
     subcommands = {ServeCommand.class, DemoCommand.class, ExperimentCommand.class, EmulateCommand.class,
-        PcapCommand.class, ReplayCommand.class, LayoutCommand.class, FleetCommand.class,
+        PcapCommand.class, ReplayCommand.class, LayoutCommand.class, FleetCommand.class, PeersCommand.class,
         AutoComplete.GenerateCompletion.class,
         CommandLine.HelpCommand.class},
     exitCodeListHeading = "%nExit codes:%n",
--- a/cli/src/main/java/gingerring/cli/ServeCommand.java
+++ b/cli/src/main/java/gingerring/cli/ServeCommand.java
@@ -1,5 +1,8 @@
 package gingerring.cli;
 
+import gingerring.peering.PeerSettings;
+import gingerring.peering.Peering;
+import gingerring.serve.Neighbours;
 import gingerring.serve.Serve;
 import gingerring.traffic.record.Recorder;
 import java.nio.file.Path;
@@ -27,16 +30,21 @@
       description = "keep so many files, the newest (${DEFAULT-VALUE})")
   private int files;
 
+  @Option(names = "--peers", paramLabel = "FILE",
+      description = "hears other mixers, and tells them what it sees, as this file says")
+  private Path peers;
+
   @Override public Integer call() throws Exception {
+    Neighbours neighbours = peers == null ? null : new Peering(PeerSettings.read(peers));
     if (record == null) {
-      return Serve.run(System.getenv(), System.err);
+      return Serve.run(System.getenv(), System.err, null, neighbours);
     }
     if (megabytes < 1 || minutes < 1 || files < 1) {
       throw new IllegalArgumentException("--record-mb, --record-minutes and --record-files are 1 or more");
     }
     try (Recorder recorder = new Recorder(record,
         new Recorder.Rotation(megabytes << 20, Duration.ofMinutes(minutes), files), System.nanoTime())) {
-      return Serve.run(System.getenv(), System.err, recorder.start());
+      return Serve.run(System.getenv(), System.err, recorder.start(), neighbours);
     }
   }
 }
--- a/emulator/src/main/java/gingerring/emulator/core/Referee.java
+++ b/emulator/src/main/java/gingerring/emulator/core/Referee.java
@@ -28,16 +28,20 @@
     final Grade grade;
     final Map<Integer, Double> shares;
     final String key;
+    final Duration since;
     final Duration until;
+    final int mixer;
     final Map<Integer, List<Trip>> trips = new HashMap<>();
     Duration ended;
     boolean left;
 
-    Scan(Grade grade, Map<Integer, Double> shares, String key, Duration until) {
+    Scan(Grade grade, Map<Integer, Double> shares, String key, Duration since, Duration until, int mixer) {
       this.grade = grade;
       this.shares = shares;
       this.key = key;
+      this.since = since;
       this.until = until;
+      this.mixer = mixer;
     }
   }
 
@@ -59,12 +63,16 @@
 
   private final World world;
   private final Map<String, Scan> scans = new HashMap<>();
-  private final Map<Integer, Duration> drained = new HashMap<>();
+  /** By mixer and box: since when that one has been told. */
+  private final Map<Long, Duration> drained = new HashMap<>();
+  /** By mixer: spans in which it was stopped, cut off or killed, and owed no answer in time. */
+  private final Map<Integer, List<Duration[]>> excuses = new HashMap<>();
   private final Map<Rule, Integer> counts = new HashMap<>();
   private final List<Foul> shown = new ArrayList<>();
   private Duration swept = Duration.ZERO;
   private long trips;
   private long judged;
+  private long excused;
 
   public Referee(World world) {
     this.world = world;
@@ -80,11 +88,34 @@
   /** A client has sent a request whole. */
   public void asked(String mark, String grade, Map<Integer, Double> shares, String key, Duration at,
       Duration patience) {
+    asked(0, mark, grade, shares, key, at, patience);
+  }
+
+  /** A client has sent a request whole to one of several mixers. */
+  public void asked(int mixer, String mark, String grade, Map<Integer, Double> shares, String key, Duration at,
+      Duration patience) {
     judged++;
-    scans.put(mark, new Scan(world.grade(grade), shares, key, at.plus(patience)));
+    scans.put(mark, new Scan(world.grade(grade), shares, key, at, at.plus(patience), mixer));
     sweep(at);
   }
 
+  /** A mixer was made to stand still, or ended, from then to then: its scans of that time may be lost. */
+  public void excuse(int mixer, Duration from, Duration to) {
+    excuses.computeIfAbsent(mixer, m -> new ArrayList<>()).add(new Duration[] {from, to});
+  }
+
+  private boolean excused(Scan scan, Duration at) {
+    boolean excused = excuses.getOrDefault(scan.mixer, List.of()).stream()
+        .anyMatch(span -> scan.since.compareTo(span[1]) <= 0 && at.compareTo(span[0]) >= 0);
+    this.excused += excused ? 1 : 0;
+    return excused;
+  }
+
+  /** Scans lost or late at mixers that had been made to stand still. */
+  public long excused() {
+    return excused;
+  }
+
   /** A client has closed its connection before its answer. */
   public void left(String mark, Duration at) {
     Scan scan = scans.get(mark);
@@ -99,7 +130,9 @@
     Scan scan = scans.get(mark);
     if (scan != null && scan.ended == null) {
       scan.ended = at;
-      foul(Rule.SCAN_LOST, at, mark + " had no answer in its client's time");
+      if (!excused(scan, at)) {
+        foul(Rule.SCAN_LOST, at, mark + " had no answer in its client's time");
+      }
     }
   }
 
@@ -117,7 +150,7 @@
       return;
     }
     scan.ended = at;
-    if (at.compareTo(scan.until.plus(SLACK)) > 0) {
+    if (at.compareTo(scan.until.plus(SLACK)) > 0 && !excused(scan, at)) {
       foul(Rule.SCAN_LOST, at, mark + " was answered after its client's time");
     }
     if (nacked && scan.grade.repeats() == Repeats.AT_MOST_ONCE && scan.trips.values().stream()
@@ -165,11 +198,11 @@
     if (scan.key != null && scan.grade.repeats() == Repeats.NUMBERED && !scan.key.equals(key)) {
       foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent without its key");
     }
-    if (scan.ended != null && at.compareTo(scan.ended.plus(SLACK)) > 0) {
+    if (scan.ended != null && at.compareTo(scan.ended.plus(SLACK)) > 0 && !excused(scan, at)) {
       foul(Rule.SCAN_LOST, at, mark + '.' + folio + " was sent after the answer");
     }
-    Duration since = drained.get(box);
-    if (since != null && at.compareTo(since.plus(world.drainGrace()).plus(SLACK)) > 0) {
+    Duration since = drained.get(place(scan.mixer, box));
+    if (since != null && at.compareTo(since.plus(world.drainGrace()).plus(SLACK)) > 0 && !excused(scan, at)) {
       foul(Rule.DRAIN, at, mark + '.' + folio + " was sent to box " + box + ", told as drained at "
           + since.toMillis() + " ms");
     }
@@ -209,13 +242,22 @@
 
   /** A mixer was told that a box drains or is gone, or (null) that it serves. */
   public void told(int box, Duration since) {
+    told(0, box, since);
+  }
+
+  /** That one of several mixers was told so. */
+  public void told(int mixer, int box, Duration since) {
     if (since == null) {
-      drained.remove(box);
+      drained.remove(place(mixer, box));
     } else {
-      drained.putIfAbsent(box, since);
+      drained.putIfAbsent(place(mixer, box), since);
     }
   }
 
+  private static long place(int mixer, int box) {
+    return (long) mixer << 32 | box;
+  }
+
   public void fell(int box, Duration at) {
     foul(Rule.COLD_BOX, at, "box " + box + " was pushed over while cold");
   }
--- a/emulator/src/main/java/gingerring/emulator/core/World.java
+++ b/emulator/src/main/java/gingerring/emulator/core/World.java
@@ -66,7 +66,16 @@
 
   public static World read(byte[] json) throws Unfit {
     try {
-      return new Reading(Fields.object(Json.read(json), "the description"), "").world();
+      return read(Fields.object(Json.read(json), "the description"));
+    } catch (Json.Malformed e) {
+      throw new Unfit(e.getMessage());
+    }
+  }
+
+  /** The same, of an object that has been read. */
+  public static World read(Map<String, Object> told) throws Unfit {
+    try {
+      return new Reading(told, "").world();
     } catch (Json.Malformed e) {
       throw new Unfit(e.getMessage());
     }
--- /dev/null
+++ b/emulator/src/main/java/gingerring/emulator/rig/Liar.java
@@ -0,0 +1,75 @@
+package gingerring.emulator.rig;
+
+import gingerring.peers.Company;
+import gingerring.peers.PeerId;
+import gingerring.peers.Place;
+import gingerring.peers.Seal;
+import gingerring.peers.Standing;
+import gingerring.traffic.wire.Datagrams;
+import gingerring.traffic.wire.Reactor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * A peer that holds the fleet's key and says what is false: that every box fails, that it has asked each of them and
+ * had an answer, and that its clients want endlessly much. It calls no box and serves no client.
+ */
+final class Liar implements Company.Host {
+  private static final Duration TICK = Duration.ofMillis(100);
+  private static final int GREED = 1000;
+
+  private final Reactor reactor;
+  private final Company company;
+  private final List<Long> boxes;
+  private final Duration start;
+  private Datagrams socket;
+
+  Liar(int number, Reactor reactor, Place here, List<Place> seeds, List<byte[]> keys, List<Long> boxes) {
+    this.reactor = reactor;
+    this.boxes = boxes;
+    start = reactor.now();
+    PeerId self = PeerId.named("liar-" + number);
+    company = new Company(self, here, System.currentTimeMillis(), Company.Rules.usual(), Seal.of(keys),
+        new SplittableRandom(self.number()), this);
+    company.listed(boxes);
+    company.begin(seeds);
+  }
+
+  void begin(Datagrams through) {
+    socket = through;
+    tick();
+  }
+
+  void received(Place from, byte[] letter) {
+    company.received(from, letter);
+  }
+
+  private void tick() {
+    for (long box : boxes) {
+      company.silent(box);
+      company.asks(box);
+      company.asked(box, true);
+    }
+    for (int i = 0; i < GREED; i++) {
+      company.saw(boxes.get(i % boxes.size()), false);
+    }
+    company.tick();
+    reactor.after(TICK, this::tick);
+  }
+
+  @Override public Duration now() {
+    return reactor.now().minus(start);
+  }
+
+  @Override public void send(Place to, byte[] letter) {
+    if (socket != null) {
+      socket.send(new InetSocketAddress("127.0.0.1", to.port()), letter);
+    }
+  }
+
+  @Override public void answers(long box) {}
+
+  @Override public void changed(Standing now) {}
+}
--- a/emulator/src/main/java/gingerring/emulator/run/Clients.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Clients.java
@@ -28,11 +28,18 @@
  * its time on a connection of that client that is idle, or on a new one; with twice as many connections as
  * clients open, it waits. A wish that was not answered is tried again.
  */
-final class Clients {
+public final class Clients {
+  /** Which of several mixers a client's next connection goes to, and where that one is now. */
+  public interface Way {
+    int mixer(int client);
+
+    InetSocketAddress address(int mixer);
+  }
+
   private final World world;
   private final Reactor reactor;
   private final Referee referee;
-  private final InetSocketAddress mixer;
+  private final Way way;
   private final double pace;
   private final Tally tally;
   private final Retries retries;
@@ -48,10 +55,23 @@
 
   Clients(World world, Reactor reactor, Referee referee, InetSocketAddress mixer, double pace, Tally tally,
       Runnable over) {
+    this(world, reactor, referee, new Way() {
+      @Override public int mixer(int client) {
+        return 0;
+      }
+
+      @Override public InetSocketAddress address(int number) {
+        return mixer;
+      }
+    }, pace, tally, over);
+  }
+
+  /** Clients of several mixers. */
+  public Clients(World world, Reactor reactor, Referee referee, Way way, double pace, Tally tally, Runnable over) {
     this.world = world;
     this.reactor = reactor;
     this.referee = referee;
-    this.mixer = mixer;
+    this.way = way;
     this.pace = pace;
     this.tally = tally;
     this.over = over;
@@ -59,7 +79,7 @@
         new SplittableRandom(world.seed() + 1));
   }
 
-  void begin(List<Wish> wishes) {
+  public void begin(List<Wish> wishes) {
     open = wishes.size();
     if (open == 0) {
       over.run();
@@ -111,6 +131,7 @@
   /** One connection, a request at a time. */
   private final class Client extends HttpOwner {
     private final int who;
+    private final int mixer;
     private final Wire wire;
     private Try now;
     private String mark;
@@ -120,7 +141,8 @@
       super(false, 1 << 20);
       this.who = who;
       connections++;
-      wire = reactor.dial(mixer, this);
+      mixer = way.mixer(who);
+      wire = reactor.dial(way.address(mixer), this);
     }
 
     void ask(Try next) {
@@ -136,7 +158,7 @@
       wire.put(text.getBytes(StandardCharsets.US_ASCII));
       wire.put(json);
       tally.asked++;
-      referee.asked(mark, grade.name(), next.wish.shares(),
+      referee.asked(mixer, mark, grade.name(), next.wish.shares(),
           grade.repeats() == World.Repeats.NUMBERED ? next.wish.key() : null, reactor.now(), grade.patience());
       reactor.after(grade.patience().plus(Referee.SLACK), () -> {
         if (mine.equals(mark) && now != null) {
--- a/emulator/src/main/java/gingerring/emulator/run/MixerProcess.java
+++ b/emulator/src/main/java/gingerring/emulator/run/MixerProcess.java
@@ -23,6 +23,11 @@
 
 /** A real mixer as a child of this process, from the same class path, configured for a world. */
 public final class MixerProcess implements AutoCloseable {
+  /** Which of a fleet a mixer is; {@code peers} is the file of its peers, or null where it has none. */
+  public record Member(String name, int number, int fleet, List<String> zones, int zone, Path peers) {
+    static final Member ALONE = new Member("emulated", 0, 1, List.of("a"), 0, null);
+  }
+
   private static final Pattern LISTENS = Pattern.compile("listens at [^ ]*:([0-9]+),");
   private static final long START_MS = 20_000;
   private static final long END_MS = 5_000;
@@ -57,14 +62,22 @@
   /** Starts one; {@code known} is the list it begins with, {@code record} a file to record to, or null. */
   public static MixerProcess start(World world, InetSocketAddress discovery, String known, Path record)
       throws IOException {
+    return start(world, discovery, known, record, Member.ALONE);
+  }
+
+  /** Starts one of a fleet. */
+  public static MixerProcess start(World world, InetSocketAddress discovery, String known, Path record, Member member)
+      throws IOException {
     Path config = Files.createTempFile("gingerring-mixer", ".json");
-    Files.writeString(config, config(world, discovery, known));
+    Files.writeString(config, config(world, discovery, known, member));
     List<String> command = new ArrayList<>(List.of(
         Path.of(System.getProperty("java.home"), "bin", "java").toString()));
     command.addAll(FLAGS);
     command.add("-Xmx" + (HEAP_MB + (int) ((long) world.clients() * CLIENT_KB >> 10)) + "m");
     command.addAll(List.of("-cp", System.getProperty("java.class.path")));
-    command.addAll(record == null ? List.of("gingerring.Main", "serve")
+    command.addAll(member.peers() != null
+        ? List.of("gingerring.peering.Main", "serve", "--peers", member.peers().toString())
+        : record == null ? List.of("gingerring.Main", "serve")
         : List.of("gingerring.cli.Gingerring", "serve", "--record", record.toString()));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().remove("GINGERRING_LOG"); // its lines are read here as plain ones
@@ -109,6 +122,52 @@
     return process.pid();
   }
 
+  /** Whether it still runs. */
+  public boolean alive() {
+    return process.isAlive();
+  }
+
+  /** Sends a signal by its name, as STOP or CONT. */
+  public void signal(String name) throws IOException {
+    try {
+      new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor(END_MS,
+          TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Waits for a line that matches and returns its first group; null where none comes in time. */
+  public String await(Pattern pattern, long ms) {
+    long until = System.currentTimeMillis() + ms;
+    try {
+      for (String line : last) {
+        Matcher matcher = pattern.matcher(line);
+        if (matcher.find()) {
+          return matcher.group(1);
+        }
+      }
+      while (System.currentTimeMillis() < until) {
+        String line = lines.poll(50, TimeUnit.MILLISECONDS);
+        if (line != null) {
+          last.add(line);
+          Matcher matcher = pattern.matcher(line);
+          if (matcher.find()) {
+            return matcher.group(1);
+          }
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return null;
+  }
+
+  /** Kills it outright. */
+  public void kill() {
+    process.destroyForcibly();
+  }
+
   /** CPU time used so far, in seconds; NaN where the system does not tell. */
   public double cpuSeconds() {
     return process.info().totalCpuDuration().map(cpu -> cpu.toNanos() / 1e9).orElse(Double.NaN);
@@ -145,28 +204,29 @@
   }
 
   /** The configuration of a mixer before this world's store, in the deployment's form. */
-  static String config(World world, InetSocketAddress discovery, String known) {
+  static String config(World world, InetSocketAddress discovery, String known, Member member) {
     String grades = world.grades().stream().map(MixerProcess::grade).collect(Collectors.joining(",\n      "));
     return String.format(Locale.ROOT, """
-        {"name": "emulated", "listen": "127.0.0.1:0", "discovery": "%s:%d", "seed": "%016x",
+        {"name": "%s", "listen": "127.0.0.1:0", "discovery": "%s:%d", "seed": "%016x",
          "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 8192}, "known": %s,
          "settings": {
           "Classes": [%s],
           "Discovery": "automatic",
           "Domain": {"Batch": 4, "ClassFetch": [%s], "ClassFloor": [%s], "ClassPartial": [%s],
            "NeedByClass": [%s], "Places": %d, "Reach": %d, "Slices": %d},
-          "FleetSize": 1, "LoadReport": {"Columns": ["depth", "concurrent"], "Source": "answers"}, "Me": 0,
+          "FleetSize": %d, "LoadReport": {"Columns": ["depth", "concurrent"], "Source": "answers"}, "Me": %d,
           "PolicyLimits": {"Cancel": true, "ConnIdleMs": %f, "DialTimeoutMs": 250.0, "MaxAttempts": %d,
            "MaxRetryAfterMs": 2000.0, "MostHeld": 4000, "Probing": true, "RetryAfter": true,
            "SecondCopies": true, "StreamsPerConn": 32},
           "Safety": {"ColdFrom": %f, "DrainGraceMs": %f, "GraceToAnswerMs": 20.0, "TipAfterMs": %f,
            "TipMultiple": %f, "WarmUpMs": %f},
-          "Skus": ["emulated"], "Zone": 0, "Zones": ["a"]}}
-        """, discovery.getAddress().getHostAddress(), discovery.getPort(), world.seed(), known, grades,
+          "Skus": ["emulated"], "Zone": %d, "Zones": ["%s"]}}
+        """, member.name(), discovery.getAddress().getHostAddress(), discovery.getPort(), world.seed(), known, grades,
         list(world, grade -> "0"), list(world, grade -> String.valueOf(grade.floor())),
         list(world, grade -> "0.95"), list(world, grade -> "1.0"), world.boxes(), world.copies(),
-        world.folios(), millis(world.idle()), world.trips(), world.coldFrom(), millis(world.drainGrace()), millis(world.tipAfter()),
-        world.tipMultiple(), millis(world.warmUp()));
+        world.folios(), member.fleet(), member.number(), millis(world.idle()), world.trips(), world.coldFrom(),
+        millis(world.drainGrace()), millis(world.tipAfter()), world.tipMultiple(), millis(world.warmUp()),
+        member.zone(), String.join("\", \"", member.zones()));
   }
 
   private static String list(World world, Function<Grade, String> value) {
--- a/emulator/src/main/java/gingerring/emulator/run/Store.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Store.java
@@ -18,11 +18,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.IntBinaryOperator;
+import java.util.function.IntConsumer;
 
 /**
  * The boxes of a world and the discovery that lists them, on ephemeral ports of 127.0.0.1, in one reactor.
@@ -53,28 +56,88 @@
       return "box-" + box.number + (successor == 0 ? "" : "-" + successor);
     }
 
-    String member(String as) {
-      return "{\"id\":\"" + id() + "\",\"host_port\":\"127.0.0.1:" + listening.address().getPort()
-          + "\",\"locality\":\"a\",\"flavor\":\"emulated\",\"cell\":" + box.number + ",\"phase\":\"" + as
+    String member(String as, View view) {
+      return "{\"id\":\"" + id() + "\",\"host_port\":\"127.0.0.1:"
+          + view.way.applyAsInt(box.number, listening.address().getPort())
+          + "\",\"locality\":\"" + zones.get(box.number % zones.size()) + "\",\"flavor\":\"emulated\",\"cell\":" + box.number + ",\"phase\":\"" + as
           + "\",\"size\":1.0,\"up_since_ms\":" + upSinceMs + "}";
     }
   }
 
+  /**
+   * One mixer's sight of the store: its own discovery, which tells it its own addresses of the boxes. {@code way}
+   * makes of a box's number and port the port that this mixer is told.
+   */
+  public final class View {
+    private final int mixer;
+    private final IntBinaryOperator way;
+    private final Set<Discovery> watches = new LinkedHashSet<>();
+    private final Reactor.Listening listening;
+    private boolean silent;
+    private final List<Runnable> heldBack = new ArrayList<>();
+    private IntConsumer closed = port -> { };
+
+    View(int mixer, IntBinaryOperator way) throws IOException {
+      this.mixer = mixer;
+      this.way = way;
+      listening = reactor.listen(loopback(0), wire -> new Discovery(this, wire));
+    }
+
+    public InetSocketAddress discovery() {
+      return listening.address();
+    }
+
+    /** The list as this mixer is told it. */
+    public String list() {
+      return Store.this.list(this);
+    }
+
+    /** Its agent says nothing, and then all that it held back. */
+    public void silent(boolean on) {
+      silent = on;
+      if (!on) {
+        List<Runnable> due = new ArrayList<>(heldBack);
+        heldBack.clear();
+        due.forEach(Runnable::run);
+      }
+    }
+
+    /** Whom to tell of a box's port that has closed. */
+    public void whenClosed(IntConsumer told) {
+      closed = told;
+    }
+
+    private void line(String text) {
+      watches.forEach(watch -> watch.line(text));
+    }
+  }
+
   private final World world;
   private final Reactor reactor;
   private final Referee referee;
   private final double pace;
   private final List<Seat> seats = new ArrayList<>();
-  private final Set<Discovery> watches = new LinkedHashSet<>();
+  private final List<String> zones;
+  private final List<View> views = new ArrayList<>();
+  /** Asks of boxes by second since the start of the reactor, connections made, the most at one box, list calls. */
+  private final Map<Integer, Integer> probes = new TreeMap<>();
+  private long linesMade;
+  private int linesMost;
+  private long calls;
   private final Map<String, Duration> marks = new HashMap<>();
   private Duration zero = Duration.ZERO;
-  private Reactor.Listening discovery;
   private int revision = 1;
   private long broken;
   private Duration firstPartAt;
 
   /** Starts at once; {@code referee} is told of all that the boxes see. */
   public Store(World world, Reactor reactor, Referee referee, double pace) throws IOException {
+    this(world, reactor, referee, pace, List.of("a"));
+  }
+
+  /** The same, with boxes in turn in these zones. */
+  public Store(World world, Reactor reactor, Referee referee, double pace, List<String> zones) throws IOException {
+    this.zones = zones;
     this.world = world;
     this.reactor = reactor;
     this.referee = referee;
@@ -85,25 +148,36 @@
       seat.box.start(false);
       open(seat);
     }
-    discovery = reactor.listen(loopback(0), Discovery::new);
+    views.add(new View(0, (box, port) -> port));
     stillHere();
     sweep();
   }
 
-  static InetSocketAddress loopback(int port) {
+  /** Another mixer's sight of this store; before the reactor runs, or on its thread. Mixer 0 has one already. */
+  public View view(int mixer, IntBinaryOperator way) throws IOException {
+    View view = new View(mixer, way);
+    views.add(view);
+    return view;
+  }
+
+  public static InetSocketAddress loopback(int port) {
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
 
   public InetSocketAddress discovery() {
-    return discovery.address();
+    return views.get(0).discovery();
   }
 
   /** The list as it is now, in discovery's form. */
   public String list() {
+    return list(views.get(0));
+  }
+
+  private String list(View view) {
     List<String> members = new ArrayList<>();
     for (Seat seat : seats) {
       if (!seat.phase.equals("DELETED")) {
-        members.add(seat.member(seat.phase));
+        members.add(seat.member(seat.phase, view));
       }
     }
     return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
@@ -243,22 +317,36 @@
   }
 
   private void crash(Seat seat) {
+    if (seat.listening.channel().isOpen()) {
+      int port = seat.listening.address().getPort();
+      views.forEach(view -> view.closed.accept(port));
+    }
     seat.listening.close();
     List.copyOf(seat.lines).forEach(line -> line.wire.reset());
   }
 
   /** The list learns of it after its lag, and tells all watches. */
   private void told(Seat seat, String phase) {
-    String before = seat.member(phase);
+    Map<View, String> before = new LinkedHashMap<>();
+    views.forEach(view -> before.put(view, seat.member(phase, view)));
     double lag = world.troubles().stream().filter(trouble -> trouble.kind() == Trouble.Kind.STALE
         && trouble.active(now())).mapToDouble(Trouble::size).max().orElse(0);
     Duration wait = scaled(world.listLag()).multipliedBy((long) (1 + lag));
     reactor.after(wait, () -> {
       seat.phase = phase;
       revision++;
-      String change = "{\"revision\":" + revision + ",\"complete\":false,\"members\":[" + before + "]}";
-      referee.told(seat.box.number, phase.equals("SERVING") ? null : reactor.now());
-      watches.forEach(watch -> watch.line(change));
+      String head = "{\"revision\":" + revision + ",\"complete\":false,\"members\":[";
+      before.forEach((view, member) -> {
+        Runnable tell = () -> {
+          referee.told(view.mixer, seat.box.number, phase.equals("SERVING") ? null : reactor.now());
+          view.line(head + member + "]}");
+        };
+        if (view.silent) {
+          view.heldBack.add(tell);
+        } else {
+          tell.run();
+        }
+      });
     });
   }
 
@@ -276,7 +364,7 @@
 
   private void stillHere() {
     reactor.after(STILL_HERE, () -> {
-      watches.forEach(watch -> watch.line(""));
+      views.stream().filter(view -> !view.silent).forEach(view -> view.line(""));
       stillHere();
     });
   }
@@ -290,6 +378,26 @@
     return load;
   }
 
+  /** Asks of boxes whether they are there, by second of the reactor's time. */
+  public Map<Integer, Integer> probes() {
+    return probes;
+  }
+
+  /** Connections made to all boxes, and the most that one held at once. */
+  public long[] connections() {
+    return new long[] {linesMade, linesMost};
+  }
+
+  /** Calls of discovery. */
+  public long calls() {
+    return calls;
+  }
+
+  /** Breaks every connection of a box, as when its machine's network starts anew. */
+  public void reset(int box) {
+    List.copyOf(seats.get(box).lines).forEach(line -> line.wire.reset());
+  }
+
   // ---- a connection to a box ----
 
   private final class Line implements Wire.Owner {
@@ -308,6 +416,8 @@
         wire.close();
       }
       seat.lines.add(this);
+      linesMade++;
+      linesMost = Math.max(linesMost, seat.lines.size());
       if (seat.silent) {
         wire.deaf(true);
       }
@@ -341,6 +451,7 @@
         case 'S' -> call(frame);
         case 'C' -> seat.box.cancel(new String(frame, 1, frame.length - 1, StandardCharsets.US_ASCII));
         case 'H' -> {
+          probes.merge((int) reactor.now().toSeconds(), 1, Integer::sum);
           if (seat.box.active(Trouble.Kind.HANG) == null) {
             put("Hdone");
           }
@@ -428,10 +539,12 @@
   // ---- discovery ----
 
   private final class Discovery implements Wire.Owner {
+    private final View view;
     private final Wire wire;
     private final StringBuilder request = new StringBuilder();
 
-    Discovery(Wire wire) {
+    Discovery(View view, Wire wire) {
+      this.view = view;
       this.wire = wire;
     }
 
@@ -442,12 +555,16 @@
       }
       boolean stream = request.indexOf("stream=1") >= 0;
       request.setLength(0);
+      calls++;
+      if (view.silent) {
+        return;
+      }
       if (stream) {
         wire.put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-        watches.add(this);
-        line(list());
+        view.watches.add(this);
+        line(view.list());
       } else {
-        String list = list();
+        String list = view.list();
         wire.put(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
             .getBytes(StandardCharsets.US_ASCII));
       }
@@ -459,7 +576,7 @@
     }
 
     @Override public void closed() {
-      watches.remove(this);
+      view.watches.remove(this);
     }
   }
 }
--- a/mixer/src/main/java/gingerring/decide/Host.java
+++ b/mixer/src/main/java/gingerring/decide/Host.java
@@ -38,4 +38,22 @@
   void wakeAfter(Duration span, WakeId wake);
 
   void log(String line);
+
+  /** Whether this mixer is to ask a benched searcher itself now, or leaves that to others who tell it. */
+  default boolean asksItself(SearcherId searcher) {
+    return true;
+  }
+
+  /** The share of a searcher's parts that fail as other mixers see it, 0 to 1; 0 where nobody tells. */
+  default double doubt(SearcherId searcher) {
+    return 0;
+  }
+
+  /** Whether a searcher is one of those that this mixer is to prefer; all are where it knows of no others. */
+  default boolean prefers(SearcherId searcher) {
+    return true;
+  }
+
+  /** A searcher has been benched: what this mixer may tell others. */
+  default void benched(SearcherId searcher) {}
 }
--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -55,6 +56,9 @@
   /** So many errors, and so large a share of all ends, are more than a healthy searcher makes by chance. */
   private static final double ERRORS_LEAST = 2;
   private static final double ERROR_SHARE = 0.4;
+  /** Where others see so large a share fail, a shorter silence and a single error are borne. */
+  private static final double DOUBT = 0.8;
+  private static final double DOUBTED_SHARE = 0.5;
   /** The fleet's pace counts in each searcher's as so many answers, once so many tell it. */
   private static final double ANSWERS_LENT = 2;
   private static final double ANSWERS_TELLING = 10;
@@ -95,6 +99,7 @@
   private final Map<Long, Scan> scansByNumber = new HashMap<>();
   private final Map<PartId, Part> parts = new HashMap<>();
   private final Map<WakeId, Runnable> wakes = new HashMap<>();
+  private final Predicate<Searcher> preferred;
   private int wakeCount;
   private int logged;
 
@@ -129,6 +134,7 @@
   public Mixer(Map<String, String> map, RandomGenerator chance, Host host) {
     this.host = host;
     this.chance = chance;
+    preferred = each -> usable(each) && host.prefers(each.id);
     terms = new Terms(map);
     roster = new Roster(terms.count("Domain.Places"), terms.count("Domain.Reach"));
     for (int i = 0; i < terms.count("Classes.count"); i++) {
@@ -251,10 +257,13 @@
     return scan.grade.partial() ? scan.grade.floor : scan.grade.need;
   }
 
-  /** The replica with fewest own parts out, ties from its home on; a benched one only where no other can. */
+  /**
+   * The replica with fewest own parts out, ties from its home on: of the preferred ones, else of all trusted, a
+   * benched one only where no other can.
+   */
   private boolean plan(Part part, Duration now) {
-    if (!plan(part, now, false)) {
-      plan(part, now, true);
+    if (!plan(part, now, preferred) && !plan(part, now, Mixer::usable)) {
+      plan(part, now, each -> true);
     }
     if (part.planned != null) {
       part.planned.plannedParts++;
@@ -262,14 +271,14 @@
     return part.planned != null;
   }
 
-  private boolean plan(Part part, Duration now, boolean benched) {
+  private boolean plan(Part part, Duration now, Predicate<Searcher> choice) {
     List<Searcher> holders = roster.holders(part.shard);
     int home = home(part, Math.max(1, holders.size()));
     Duration left = (now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end).minus(now);
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
       boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
-      if (!tried && (benched || usable(searcher)) && coldRoom(searcher, now)
+      if (!tried && choice.test(searcher) && coldRoom(searcher, now)
           && inTime(searcher, left, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
@@ -693,7 +702,8 @@
     for (Searcher searcher : List.copyOf(active)) {
       judge(searcher, now);
       copyLate(searcher, now);
-      if (searcher.benchedUntil != null && searcher.benchedUntil.compareTo(now) <= 0 && !searcher.probing) {
+      if (searcher.benchedUntil != null && searcher.benchedUntil.compareTo(now) <= 0 && !searcher.probing
+          && host.asksItself(searcher.id)) {
         if (terms.flag("PolicyLimits.Probing") && searcher.ready()) {
           searcher.probing = true;
           host.probe(searcher.id);
@@ -718,6 +728,14 @@
     }
   }
 
+  /** Another mixer had an answer of it: this one may ask it too, and goes by its own answer alone. */
+  public void othersHeard(SearcherId id) {
+    Searcher searcher = roster.get(id);
+    if (searcher != null && searcher.benchedUntil != null) {
+      searcher.benchedUntil = min(searcher.benchedUntil, host.now());
+    }
+  }
+
   /** Re-entry: one part at a time, until a few have been answered, and judged by new evidence alone. */
   private void tryAgain(Searcher searcher) {
     searcher.benchedUntil = null;
@@ -733,13 +751,14 @@
     survey(now);
     double errors = searcher.errors.sum(now, RECENT);
     double ended = errors + searcher.answers.sum(now, RECENT);
-    double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * usualGap);
+    boolean doubted = host.doubt(searcher.id) >= DOUBT;
+    double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * usualGap) * (doubted ? DOUBTED_SHARE : 1);
     searcher.noteBusy(now);
     // only time with own parts out counts, and only from the last word on: a busy searcher still answers
     // now and then; and a cold one takes its time
     if (searcher.unheard.toNanos() > silence / warmth(searcher, now)) {
       bench(searcher, "silent");
-    } else if (errors >= ERRORS_LEAST && errors >= ERROR_SHARE * ended) {
+    } else if (errors >= (doubted ? 1 : ERRORS_LEAST) && errors >= ERROR_SHARE * ended) {
       bench(searcher, "errors");
     }
   }
@@ -750,6 +769,7 @@
     searcher.benchSpan = again ? min(BENCH_MOST, searcher.benchSpan.multipliedBy(2)) : BENCH_LEAST;
     searcher.benchedUntil = now.plus(searcher.benchSpan);
     searcher.trialsLeft = 0;
+    host.benched(searcher.id);
     log("searcher in cell " + searcher.listing.cell() + " benched: " + why);
   }
 
--- a/mixer/src/main/java/gingerring/serve/Desk.java
+++ b/mixer/src/main/java/gingerring/serve/Desk.java
@@ -91,6 +91,8 @@
   private Mixer mixer;
   private Back back;
   private Watch watch;
+  /** What others tell; null where this mixer knows of none. */
+  private Neighbours neighbours;
   private boolean ready;
   /** Once the end is announced: by when all must be answered. */
   private Duration endBy;
@@ -108,6 +110,11 @@
     machines = List.of(terms.text("Skus").split(","));
   }
 
+  /** Before the start: with others to hear from. */
+  void among(Neighbours others) {
+    neighbours = others;
+  }
+
   /** The mixer starts, and is told the list as it was known in the same turn. */
   void start(Back back, Watch watch, long seed, Members known) {
     this.back = back;
@@ -222,6 +229,9 @@
         over = true;
       }
       mixer.tripEnded(errand.part, errand.trip, outcome, over, load);
+      if (neighbours != null) {
+        neighbours.ended(errand.searcher.address(), outcome);
+      }
       if (piece != null) {
         drop(piece);
       }
@@ -229,7 +239,12 @@
   }
 
   @Override public void probed(SearcherId searcher, Outcome outcome, Duration taken, float[] load) {
-    loop.tell(() -> mixer.probed(searcher, outcome, taken, load));
+    loop.tell(() -> {
+      mixer.probed(searcher, outcome, taken, load);
+      if (neighbours != null) {
+        neighbours.asked(searcher.address(), outcome == Outcome.SUCCEEDED);
+      }
+    });
   }
 
   @Override public void list(Members members) {
@@ -260,6 +275,9 @@
     lines.stream().filter(line -> line.standing() == Listing.Standing.GONE).map(Listing::searcher)
         .forEach(this::forget);
     loop.tell(() -> mixer.rosterTold(lines, members.complete()));
+    if (neighbours != null) {
+      neighbours.listed(listed.values());
+    }
   }
 
   /** A searcher that has gone gets the same number again if it is listed again. */
@@ -386,9 +404,35 @@
   }
 
   @Override public void probe(SearcherId searcher) {
+    if (neighbours != null) {
+      neighbours.asks(searcher.address());
+    }
     back.probe(searcher);
   }
 
+  @Override public boolean asksItself(SearcherId searcher) {
+    return neighbours == null || neighbours.asksItself(searcher.address());
+  }
+
+  @Override public double doubt(SearcherId searcher) {
+    return neighbours == null ? 0 : neighbours.doubt(searcher.address());
+  }
+
+  @Override public boolean prefers(SearcherId searcher) {
+    return neighbours == null || neighbours.prefers(searcher.address());
+  }
+
+  @Override public void benched(SearcherId searcher) {
+    if (neighbours != null) {
+      neighbours.benched(searcher.address());
+    }
+  }
+
+  /** Another mixer had an answer of a searcher that this one may have benched. */
+  void othersHeard(long searcher) {
+    loop.tell(() -> mixer.othersHeard(new SearcherId(searcher)));
+  }
+
   @Override public void closeIdle(SearcherId searcher) {
     back.closeIdle(searcher);
   }
--- /dev/null
+++ b/mixer/src/main/java/gingerring/serve/Neighbours.java
@@ -0,0 +1,63 @@
+package gingerring.serve;
+
+import gingerring.decide.Listing;
+import gingerring.decide.Outcome;
+import gingerring.net.Inbox;
+import gingerring.net.TurnClock;
+import java.time.Duration;
+import java.util.Collection;
+
+/**
+ * The other mixers, as a mixer's process meets them: told what this one sees, and asked what others tell. All calls
+ * come on the loop's thread; searchers go by the number that every mixer makes of their names. Given to {@link
+ * Serve}, or not: without one, nothing of it is loaded, opened or started.
+ */
+public interface Neighbours {
+  /** What the process lends: its loop's clock and inbox, and a way to its mixer. */
+  interface Ground extends TurnClock, Inbox {
+    String name();
+
+    /** The number of this mixer's zone in its settings; -1 where there is none. */
+    int zone();
+
+    /** Cells of the ring, and how many from a shard's own on hold it. */
+    int places();
+
+    int reach();
+
+    /** Unix time in milliseconds at the clock's zero. */
+    long startMs();
+
+    /** Another mixer had an answer of that searcher. */
+    void othersHeard(long searcher);
+  }
+
+  /** The process is about to take scans. */
+  void begin(Ground ground);
+
+  void listed(Collection<Listing> searchers);
+
+  /** A trip there has ended. */
+  void ended(long searcher, Outcome outcome);
+
+  void benched(long searcher);
+
+  /** Whether this mixer is to ask a benched searcher itself now. */
+  boolean asksItself(long searcher);
+
+  /** It does. */
+  void asks(long searcher);
+
+  void asked(long searcher, boolean answered);
+
+  /** The share of its parts that fail as others see it, 0 to 1; 0 where nobody tells. */
+  double doubt(long searcher);
+
+  boolean prefers(long searcher);
+
+  /** A line for the log each minute. */
+  String status();
+
+  /** The process ends on purpose; {@code within} it may still say so. */
+  void end(Duration within);
+}
--- a/mixer/src/main/java/gingerring/serve/Serve.java
+++ b/mixer/src/main/java/gingerring/serve/Serve.java
@@ -38,6 +38,7 @@
 
   private final Map<String, String> env;
   private final Tap tap;
+  private final Neighbours neighbours;
   private final Counts counts = new Counts();
   private final Loop loop = new Loop(counts);
   private final CountDownLatch ended = new CountDownLatch(1);
@@ -49,19 +50,22 @@
   private Orders inForce;
   private Duration endBy;
 
-  private Serve(Map<String, String> env, Tap tap) {
+  private Serve(Map<String, String> env, Tap tap, Neighbours neighbours) {
     this.env = env;
     this.tap = tap;
+    this.neighbours = neighbours;
   }
 
   /** Returns the exit code. */
   public static int run(Map<String, String> env, PrintStream complaints) {
-    return run(env, complaints, null);
+    return run(env, complaints, null, null);
   }
 
-  /** The same, with all that its connections carry told to a tap (null for none). */
-  public static int run(Map<String, String> env, PrintStream complaints, Tap tap) {
-    Serve serve = new Serve(env, tap);
+  /**
+   * The same, with all that its connections carry told to a tap, and among other mixers; null for none of either.
+   */
+  public static int run(Map<String, String> env, PrintStream complaints, Tap tap, Neighbours neighbours) {
+    Serve serve = new Serve(env, tap, neighbours);
     // before anything is read: untended, SIGHUP ends a process, and one that comes early is not to be lost
     SignalHandler before = Signal.handle(new Signal("HUP"), signal -> serve.reload());
     if (before == SignalHandler.SIG_IGN) { // the virtual machine leaves a signal that it was started without
@@ -93,6 +97,10 @@
     int own = SOCKETS_OWN + SOCKETS_EACH * orders.known().members().size();
     front = new Front(network, desk, terms, counts, loop, loop::post,
         Math.max(orders.sockets() / 2, orders.sockets() - own));
+    if (neighbours != null) {
+      desk.among(neighbours);
+      neighbours.begin(new Lent(orders, startMs));
+    }
     desk.start(back, watch, orders.seed(), orders.known());
     InetSocketAddress listening;
     try {
@@ -138,6 +146,9 @@
     loop.wakeAfter(STATUS_EVERY, () -> {
       LOG.info("{} scans open, {} clients, {} connections; counts: {}", desk.open(), front.clients(),
           network.connections(), counts);
+      if (neighbours != null) {
+        LOG.info("{}", neighbours.status());
+      }
       status();
     });
   }
@@ -159,6 +170,9 @@
    */
   private void announceEnd() {
     LOG.info("ending: {} scans open", desk.open());
+    if (neighbours != null) {
+      neighbours.end(STILL_COMING);
+    }
     Terms terms = inForce.terms();
     Duration patience = Duration.ZERO;
     for (int i = 0; i < terms.count("Classes.count"); i++) {
@@ -189,4 +203,55 @@
       loop.wakeAfter(FLUSH, this::watchEnd);
     }
   }
+
+  /** What neighbours are lent of this process. */
+  private final class Lent implements Neighbours.Ground {
+    private final Orders orders;
+    private final long startMs;
+
+    Lent(Orders orders, double startMs) {
+      this.orders = orders;
+      this.startMs = Math.round(startMs);
+    }
+
+    @Override public String name() {
+      return orders.name();
+    }
+
+    @Override public int zone() {
+      return orders.terms().has("Zone") ? orders.terms().count("Zone") : -1;
+    }
+
+    @Override public int places() {
+      return orders.terms().count("Domain.Places");
+    }
+
+    @Override public int reach() {
+      return orders.terms().count("Domain.Reach");
+    }
+
+    @Override public long startMs() {
+      return startMs;
+    }
+
+    @Override public void othersHeard(long searcher) {
+      desk.othersHeard(searcher);
+    }
+
+    @Override public Duration now() {
+      return loop.now();
+    }
+
+    @Override public void wakeAfter(Duration span, Runnable task) {
+      loop.wakeAfter(span, task);
+    }
+
+    @Override public void post(Runnable event) {
+      loop.post(event);
+    }
+
+    @Override public Duration clock() {
+      return loop.clock();
+    }
+  }
 }
--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -244,6 +244,61 @@
     assertEquals(1, stage.logs.size());
   }
 
+  @Test void leavesABenchedSearcherToOthersUntilItsTurnOrTheirWord() {
+    Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(2);
+    stage.leftToOthers = true;
+    for (int i = 0; stage.benched.isEmpty(); i++) {
+      stage.scan(i, 1);
+      stage.end(i, Outcome.ERROR);
+    }
+    stage.pass(9000);
+    assertEquals(List.of(), stage.probes);
+    stage.leftToOthers = false;
+    stage.pass(150);
+    assertEquals(stage.benched, stage.probes);
+    stage.mixer.probed(stage.probes.get(0), Outcome.UNREACHABLE, ms(1), new float[0]);
+    stage.pass(500);
+    assertEquals(1, stage.probes.size()); // benched for longer
+    stage.mixer.othersHeard(stage.benched.get(0));
+    stage.pass(150);
+    assertEquals(2, stage.probes.size());
+    stage.mixer.probed(stage.probes.get(0), Outcome.SUCCEEDED, ms(1), new float[0]);
+    stage.mixer.othersHeard(new SearcherId(99)); // of one that it does not know
+  }
+
+  @Test void whatOthersSeeShortensASilenceAndItsOwnAnswersStillCount() {
+    for (double doubt : new double[] {0, 0.7, 1}) {
+      Stage stage = new Stage().fleet(4);
+      warm(stage, 10);
+      stage.doubt = doubt;
+      stage.scan(1, 1);
+      stage.pass(550);
+      assertEquals(doubt == 1 ? 1 : 0, stage.benched.size(), "at a doubt of " + doubt);
+      Stage answered = new Stage().fleet(4);
+      answered.doubt = 1; // all others lie
+      warm(answered, 50);
+      assertEquals(List.of(), answered.benched);
+    }
+  }
+
+  @Test void prefersThoseItIsToPreferAndWidensWhereTheyFail() {
+    Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(2);
+    stage.shunned = new SearcherId(1);
+    int shunned = 0;
+    for (int i = 0; i < 10; i++) {
+      stage.scan(i, 1);
+      shunned += stage.sent.get(i).searcher().equals(stage.shunned) ? 1 : 0;
+      stage.end(i, Outcome.SUCCEEDED);
+    }
+    assertEquals(0, shunned);
+    for (int i = 10; stage.benched.isEmpty(); i++) {
+      stage.scan(i, 1);
+      stage.end(i, Outcome.ERROR);
+    }
+    stage.scan(90, 1);
+    assertEquals(stage.shunned, stage.sent.get(stage.sent.size() - 1).searcher());
+  }
+
   @Test void keepsNothingBackOnTheFirstFewAnswers() {
     Stage stage = new Stage().fleet(4);
     stage.scan(1, 0.5, 0.5);
--- a/mixer/src/test/java/gingerring/decide/Stage.java
+++ b/mixer/src/test/java/gingerring/decide/Stage.java
@@ -35,6 +35,11 @@
   final PriorityQueue<Wake> wakes = new PriorityQueue<>(
       Comparator.comparing(Wake::at).thenComparing(Wake::order));
   final Mixer mixer;
+  /** What others tell this mixer. */
+  boolean leftToOthers;
+  double doubt;
+  SearcherId shunned;
+  final List<SearcherId> benched = new ArrayList<>();
   Duration now = Duration.ZERO;
   int watches;
   private int order;
@@ -135,4 +140,20 @@
   @Override public void log(String line) {
     logs.add(line);
   }
+
+  @Override public boolean asksItself(SearcherId searcher) {
+    return !leftToOthers;
+  }
+
+  @Override public double doubt(SearcherId searcher) {
+    return doubt;
+  }
+
+  @Override public boolean prefers(SearcherId searcher) {
+    return !searcher.equals(shunned);
+  }
+
+  @Override public void benched(SearcherId searcher) {
+    benched.add(searcher);
+  }
 }
--- /dev/null
+++ b/peering/src/main/java/gingerring/peering/Main.java
@@ -0,0 +1,23 @@
+package gingerring.peering;
+
+import gingerring.serve.Serve;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** A real mixer with peers: {@code serve --peers FILE}, on a class path of the mixer's and this alone. */
+public final class Main {
+  private Main() {}
+
+  public static void main(String[] args) {
+    if (args.length != 3 || !args[0].equals("serve") || !args[1].equals("--peers")) {
+      System.err.println("usage: serve --peers FILE");
+      System.exit(2);
+    }
+    try {
+      System.exit(Serve.run(System.getenv(), System.err, null, new Peering(PeerSettings.read(Path.of(args[2])))));
+    } catch (IOException e) {
+      System.err.println("gingerring serve: " + e.getMessage());
+      System.exit(2);
+    }
+  }
+}
--- a/peers/src/main/java/gingerring/peers/Body.java
+++ b/peers/src/main/java/gingerring/peers/Body.java
@@ -31,4 +31,10 @@
 
   /** Nothing but what goes beside it. */
   record Pass() implements Body {}
+
+  /** An operator asks: what of ({@code about}, a letter), and of which box where it is of one. */
+  record Query(char about, long box) implements Body {}
+
+  /** The answer, in plain lines. */
+  record Reply(String text) implements Body {}
 }
--- a/peers/src/main/java/gingerring/peers/Company.java
+++ b/peers/src/main/java/gingerring/peers/Company.java
@@ -43,6 +43,11 @@
 
     /** A peer came, went or is in doubt. */
     void changed(Standing now);
+
+    /** What to answer an operator who asks. */
+    default String explain(Body.Query query) {
+      return "";
+    }
   }
 
   /**
@@ -209,6 +214,8 @@
     membership.heard(letter.author(), from, letter.body(), letter.news());
     if (letter.body() instanceof Body.Say say) {
       count(words.heard(say.word(), host.now()) == Words.Verdict.TAKEN ? Count.WORDS : Count.WORDS_DROPPED);
+    } else if (letter.body() instanceof Body.Query query) {
+      send(from, new Body.Reply(host.explain(query)), true);
     }
     letter.notes().forEach(this::noted);
   }
@@ -343,6 +350,11 @@
     return hearsay.demand(sight.demand(host.now()), words.fresh(host.now()));
   }
 
+  /** Parts a second that this mixer's own clients ask for. */
+  public double ownDemand() {
+    return sight.demand(host.now());
+  }
+
   /** What this mixer saw of a box, as its next word would tell it. */
   public Seen own(long box) {
     return sight.of(box, host.now());
@@ -358,6 +370,17 @@
     membership.leave();
   }
 
+  /** Which asks of a box are told, and by whom last: a line for operators; empty where none is in hand. */
+  public String matterOf(long box) {
+    Matter matter = matters.get(box);
+    if (matter == null) {
+      return "";
+    }
+    Duration due = matter.rota.due(mixers(), common()).minus(common());
+    return "own turn in " + due.toMillis() + " ms" + (matter.last == null ? "" : ", last asked by "
+        + Long.toHexString(matter.last.author().number()) + (matter.last.answered() ? ": answered" : ": no answer yet"));
+  }
+
   public Membership membership() {
     return membership;
   }
--- a/peers/src/main/java/gingerring/peers/Letters.java
+++ b/peers/src/main/java/gingerring/peers/Letters.java
@@ -2,7 +2,9 @@
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +17,8 @@
  *
  * <p>Bodies: ping number (4), peer (8); ack and nack number (4); help number (4), peer (8), place (6); ask from
  * (8); page next (8), count (1), standings; say zone (4), demand (4, a float), count (2), then by number box (8),
- * answered, failed (2 each, whole parts, 65,535 at most); pass nothing.
+ * answered, failed (2 each, whole parts, 65,535 at most); pass nothing; query about (1), box (8); reply length (2),
+ * text in UTF-8.
  */
 public final class Letters {
   /** Bytes that are no letter, or not proved; the message says which. */
@@ -37,6 +40,7 @@
   private static final int WORD = 10;
   private static final int BOX = 12;
   private static final int PARTS_MOST = 0xFFFF;
+  private static final int TEXT_MOST = 1100;
   private static final int COUNT_MOST = 0xFF;
   private static final Standing.State[] STATES = Standing.State.values();
 
@@ -62,6 +66,9 @@
     if (body instanceof Body.Page page) {
       return 9 + page.standings().size() * STANDING;
     }
+    if (body instanceof Body.Reply reply) {
+      return 3 + text(reply).length;
+    }
     return body instanceof Body.Say say ? WORD + BOX * say.word().boxes().size() : 18;
   }
 
@@ -77,7 +84,7 @@
         .putLong(each.round()).put((byte) (each.answered() ? 1 : 0)));
     int length = to.position();
     seal.seal(bytes, length);
-    return java.util.Arrays.copyOf(bytes, length + Seal.PROOF);
+    return Arrays.copyOf(bytes, length + Seal.PROOF);
   }
 
   private static void body(ByteBuffer to, Body body) {
@@ -101,11 +108,21 @@
           .putShort((short) word.boxes().size());
       new TreeMap<>(word.boxes()).forEach((box, seen) -> to.putLong(box).putShort(parts(seen.answered()))
           .putShort(parts(seen.failed())));
+    } else if (body instanceof Body.Query query) {
+      to.put((byte) 'w').put((byte) query.about()).putLong(query.box());
+    } else if (body instanceof Body.Reply reply) {
+      byte[] text = text(reply);
+      to.put((byte) 'x').putShort((short) text.length).put(text);
     } else {
       to.put((byte) 'v');
     }
   }
 
+  private static byte[] text(Body.Reply reply) {
+    byte[] text = reply.text().getBytes(StandardCharsets.UTF_8);
+    return Arrays.copyOf(text, Math.min(text.length, TEXT_MOST));
+  }
+
   private static short parts(double parts) {
     return (short) Math.min(PARTS_MOST, Math.round(parts));
   }
@@ -168,6 +185,12 @@
       }
       case 's' -> new Body.Say(word(in, author, life, number));
       case 'v' -> new Body.Pass();
+      case 'w' -> new Body.Query((char) Byte.toUnsignedInt(in.get()), in.getLong());
+      case 'x' -> {
+        byte[] text = new byte[Math.min(TEXT_MOST, Short.toUnsignedInt(in.getShort()))];
+        in.get(text);
+        yield new Body.Reply(new String(text, StandardCharsets.UTF_8));
+      }
       default -> throw new Refused("proved, and no letter: of kind " + kind);
     };
   }
--- a/peers/src/main/java/gingerring/peers/Membership.java
+++ b/peers/src/main/java/gingerring/peers/Membership.java
@@ -331,7 +331,8 @@
     }
     Duration now = host.now();
     news.forEach(each -> take(each, now));
-    if (!members.containsKey(author.number()) && !(body instanceof Body.Ask) && !(body instanceof Body.Page)) {
+    if (!members.containsKey(author.number()) && !(body instanceof Body.Ask) && !(body instanceof Body.Page)
+        && !(body instanceof Body.Query)) {
       // whose own word was lost, or has been forgotten: it is to say who it is
       host.send(from, new Body.Ask(STRANGER));
     }
--- /dev/null
+++ b/share/src/main/java/gingerring/share/Preference.java
@@ -0,0 +1,90 @@
+package gingerring.share;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The boxes that one mixer prefers, as its list and its trust move: a {@link Cover} of all that it trusts. Call
+ * {@link #listed} for each list, {@link #distrusts} and {@link #trusts} when a box is benched and back, and ask
+ * {@link #prefers}. Where a box that it preferred fails, others of that box's folios stand in at once; when it is
+ * back, so is the old choice. Before the first list, and with nothing trusted, all are preferred.
+ */
+public final class Preference {
+  /** A box, and the cell of the ring that it stands in. */
+  public record Listed(Box box, int cell) {}
+
+  private final MixerId self;
+  private final int keep;
+  private final int places;
+  private final int reach;
+  private Collection<Listed> listed = List.of();
+  private final Set<BoxId> distrusted = new HashSet<>();
+  private Set<BoxId> preferred;
+  private long moved;
+
+  /**
+   * {@code keep}: holders preferred of each folio; {@code places}: cells of the ring; {@code reach}: how many cells
+   * from a folio's own on hold it.
+   */
+  public Preference(MixerId self, int keep, int places, int reach) {
+    if (keep < 1 || places < 1 || reach < 1) {
+      throw new IllegalArgumentException("keep " + keep + ", places " + places + ", reach " + reach);
+    }
+    this.self = self;
+    this.keep = keep;
+    this.places = places;
+    this.reach = reach;
+  }
+
+  public void listed(Collection<Listed> boxes) {
+    listed = List.copyOf(boxes);
+    distrusted.retainAll(listed.stream().map(each -> each.box().id()).toList());
+    chooseAnew();
+  }
+
+  public void distrusts(BoxId box) {
+    if (distrusted.add(box)) {
+      chooseAnew();
+    }
+  }
+
+  public void trusts(BoxId box) {
+    if (distrusted.remove(box)) {
+      chooseAnew();
+    }
+  }
+
+  private void chooseAnew() {
+    Map<Integer, List<BoxId>> cells = new TreeMap<>();
+    List<Box> trusted = listed.stream().filter(each -> !distrusted.contains(each.box().id())).map(Listed::box)
+        .toList();
+    for (int folio = 0; folio < places; folio++) {
+      int first = folio;
+      cells.put(folio, listed.stream().filter(each -> Math.floorMod(each.cell() - first, places) < reach)
+          .map(each -> each.box().id()).toList());
+    }
+    Set<BoxId> chosen = trusted.isEmpty() ? null : new Cover(trusted, cells.values(), keep).of(self);
+    if (preferred != null && chosen != null) {
+      moved += chosen.stream().filter(each -> !preferred.contains(each)).count();
+    }
+    preferred = chosen;
+  }
+
+  public boolean prefers(BoxId box) {
+    return preferred == null || preferred.contains(box);
+  }
+
+  /** How many are preferred now; -1 while all are. */
+  public int size() {
+    return preferred == null ? -1 : preferred.size();
+  }
+
+  /** Boxes taken up over all changes: connections that had to be made for them. */
+  public long moved() {
+    return moved;
+  }
+}
--- /dev/null
+++ b/traffic/src/main/java/gingerring/traffic/wire/Datagrams.java
@@ -0,0 +1,57 @@
+package gingerring.traffic.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.util.function.BiConsumer;
+
+/** One datagram socket of a {@link Reactor}; what cannot be sent at once is lost, as datagrams are. */
+public final class Datagrams {
+  private static final int MOST = 1 << 16;
+  /** So many a turn, so that one socket's flood does not keep the others waiting. */
+  private static final int EACH_TURN = 64;
+
+  private final DatagramChannel channel;
+  private final ByteBuffer buffer = ByteBuffer.allocate(MOST);
+
+  Datagrams(Reactor reactor, InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> received)
+      throws IOException {
+    channel = DatagramChannel.open();
+    channel.bind(address);
+    channel.configureBlocking(false);
+    SelectionKey key = channel.register(reactor.selector, SelectionKey.OP_READ);
+    key.attach((Runnable) () -> read(received));
+  }
+
+  private void read(BiConsumer<InetSocketAddress, byte[]> received) {
+    try {
+      for (int i = 0; i < EACH_TURN; i++) {
+        buffer.clear();
+        InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
+        if (from == null) {
+          return;
+        }
+        buffer.flip();
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        received.accept(from, bytes);
+      }
+    } catch (IOException e) {
+      // a peer's port is closed, or this one is
+    }
+  }
+
+  public InetSocketAddress address() {
+    return (InetSocketAddress) channel.socket().getLocalSocketAddress();
+  }
+
+  public void send(InetSocketAddress to, byte[] bytes) {
+    try {
+      channel.send(ByteBuffer.wrap(bytes), to);
+    } catch (IOException e) {
+      // lost
+    }
+  }
+}
--- a/traffic/src/main/java/gingerring/traffic/wire/Reactor.java
+++ b/traffic/src/main/java/gingerring/traffic/wire/Reactor.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -101,6 +102,13 @@
     }
   }
 
+  /** A datagram socket at a loopback address; {@code received} is told of what comes, on this thread. */
+  public Datagrams datagrams(InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> received)
+      throws IOException {
+    loopback(address);
+    return new Datagrams(this, address, received);
+  }
+
   private static void loopback(InetSocketAddress address) {
     if (!address.getAddress().isLoopbackAddress()) {
       throw new IllegalArgumentException("not a loopback address: " + address);
