--- a/bench/src/main/java/gingerring/bench/MembershipCost.java
+++ b/bench/src/main/java/gingerring/bench/MembershipCost.java
@@ -26,9 +26,10 @@
 import java.util.SplittableRandom;
 
 /**
- * What being one of so many members costs a process: {@code MembershipCost own|scalecube MEMBERS} starts them in one
- * process on 127.0.0.1, waits until each knows all, and prints the time to the first member's start and to the last
- * one's knowledge, CPU, resident memory, threads and loaded classes. One run a process, each with the same flags.
+ * What being one of so many members costs a process: {@code MembershipCost own|scalecube MEMBERS} starts them
+ * in one process on 127.0.0.1, waits until each knows all, and prints the time to the first member's start
+ * and to the last one's knowledge, CPU, resident memory, threads and loaded classes. One run a process, each
+ * with the same flags.
  */
 public final class MembershipCost {
   private static final Duration WAIT = Duration.ofSeconds(60);
@@ -48,7 +49,8 @@
       resident = line.startsWith("VmRSS:") ? Long.parseLong(line.replaceAll("[^0-9]", "")) : resident;
     }
     System.out.println("way,members,first_ms,all_ms,cpu_ms,calm_cpu_ms_s_member,resident_mb,threads,classes");
-    System.out.printf(Locale.ROOT, "%s,%d,%d,%d,%d,%.2f,%d,%d,%d%n", args[0], members, (first - start) / 1_000_000,
+    System.out.printf(Locale.ROOT, "%s,%d,%d,%d,%d,%.2f,%d,%d,%d%n", args[0], members,
+        (first - start) / 1_000_000,
         (all - start) / 1_000_000, cpu, (later - cpu) / 10.0 / members, resident >> 10,
         java.lang.management.ManagementFactory.getThreadMXBean().getThreadCount(),
         java.lang.management.ManagementFactory.getClassLoadingMXBean().getLoadedClassCount());
@@ -99,7 +101,8 @@
 
     Own(int number, Place seed) throws IOException {
       socket.setSoTimeout(50);
-      company = new Company(PeerId.named("m" + number), here, System.currentTimeMillis(), Company.Rules.usual(),
+      company = new Company(PeerId.named("m" + number), here, System.currentTimeMillis(),
+          Company.Rules.usual(),
           Seal.of(List.of(new byte[32])), new SplittableRandom(number), this);
       company.begin(seed == null ? List.of() : List.of(seed));
       Thread thread = new Thread(this::run);
--- a/cli/src/main/java/gingerring/cli/FleetCommand.java
+++ b/cli/src/main/java/gingerring/cli/FleetCommand.java
@@ -28,7 +28,7 @@
 
 /** What many mixers' choices add up to, in simulated time. */
 @Command(name = "fleet", mixinStandardHelpOptions = true,
-    description = "Plays many mixers in simulated time, or as processes; the same seed gives the same schedule.")
+    description = "Plays many mixers in simulated time, or as processes; a seed gives one schedule.")
 final class FleetCommand implements Runnable {
   @Spec private CommandSpec spec;
 
@@ -164,7 +164,8 @@
       @Option(names = "--seconds", defaultValue = "90", description = "Simulated seconds.") double seconds,
       @Option(names = "--seeds", defaultValue = "3", description = "So many seeds from 1 on; worst are told.")
       int seeds,
-      @Option(names = "--cases", split = ",", description = "Only these cases, by name; all where none is named.")
+      @Option(names = "--cases", split = ",",
+          description = "Only these cases, by name; all where none is named.")
       List<String> only,
       @Option(names = "--out", description = "A folder for table and chart.") Path folder)
       throws IOException {
@@ -174,7 +175,8 @@
       throw new IllegalArgumentException("--cases has " + only + "; known are " + String.join(", ", known));
     }
     least("--seeds", seeds, 1);
-    Table table = new Table("mixers", "case", "bytes/s mean", "bytes/s most", "known s", "wrongly gone", "strangers",
+    Table table = new Table("mixers", "case", "bytes/s mean", "bytes/s most", "known s", "wrongly gone",
+        "strangers",
         "asks/s a box", "found s", "all found s", "sound doubted", "demand x");
     for (int size : sizes) {
       for (Map.Entry<String, List<Society.Fault>> each : cases(size, seconds).entrySet()) {
@@ -191,10 +193,13 @@
           double[] now = {
               result.bytes.stream().skip(10).mapToDouble(bytes -> bytes[1]).average().orElse(0),
               result.bytes.stream().skip(10).mapToDouble(bytes -> bytes[0]).max().orElse(0),
-              result.known.stream().mapToDouble(ms -> ms / 1000).filter(s -> !Double.isNaN(s)).max().orElse(0),
+              result.known.stream().mapToDouble(ms -> ms / 1000).filter(s -> !Double.isNaN(s))
+                  .max().orElse(0),
               result.wronglyGone, result.strangers, asks,
-              result.found.stream().mapToDouble(found -> found[0] / 1000).filter(Double::isFinite).max().orElse(0),
-              result.found.stream().mapToDouble(found -> found[1] / 1000).filter(Double::isFinite).max().orElse(0),
+              result.found.stream().mapToDouble(found -> found[0] / 1000).filter(Double::isFinite)
+                  .max().orElse(0),
+              result.found.stream().mapToDouble(found -> found[1] / 1000).filter(Double::isFinite)
+                  .max().orElse(0),
               result.doubtOfAlive, result.demand};
           for (int i = 0; i < now.length; i++) {
             worst[i] = Math.max(worst[i], now[i]);
@@ -235,7 +240,8 @@
 
   @Command(name = "run", mixinStandardHelpOptions = true,
       description = "Starts real mixers as processes before an emulated store, with faults on every link.")
-  int run(@Parameters(paramLabel = "FILE", description = "the run, described in JSON; several are played in turn")
+  int run(@Parameters(paramLabel = "FILE",
+      description = "the run, described in JSON; several are played in turn")
       List<Path> files,
       @Option(names = "--out", description = "A folder for the table.") Path folder) throws IOException {
     Table table = new Table("run", "mixers", "peers", "service", "rules broken", "excused", "crashes", "asks",
--- a/cli/src/main/java/gingerring/cli/PeersCommand.java
+++ b/cli/src/main/java/gingerring/cli/PeersCommand.java
@@ -25,7 +25,8 @@
       description = "the file that mixers have (${DEFAULT-VALUE}): its keys, and where it listens")
   private Path file;
 
-  @Option(names = "--at", paramLabel = "ADDRESS:PORT", description = "another mixer than the one of that file")
+  @Option(names = "--at", paramLabel = "ADDRESS:PORT",
+      description = "another mixer than the one of that file")
   private String at;
 
   @Override public void run() {
@@ -53,7 +54,8 @@
       description = "Reads the file whole, and says all that is wrong with it.")
   void check() throws IOException {
     PeerSettings settings = PeerSettings.read(file);
-    spec.commandLine().getOut().println(file + ": " + settings.seeds().size() + " seeds, " + settings.keys().size()
+    spec.commandLine().getOut().println(file + ": " + settings.seeds().size() + " seeds, "
+        + settings.keys().size()
         + " keys, at most " + settings.rules().bytesPerSecond() + " bytes a second");
   }
 
@@ -75,7 +77,8 @@
     ask('s', 0);
   }
 
-  @Command(name = "counts", mixinStandardHelpOptions = true, description = "What happened among peers, by cause.")
+  @Command(name = "counts", mixinStandardHelpOptions = true,
+      description = "What happened among peers, by cause.")
   void counts() throws IOException {
     ask('c', 0);
   }
--- a/emulator/src/main/java/gingerring/emulator/core/Referee.java
+++ b/emulator/src/main/java/gingerring/emulator/core/Referee.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 
 /**
- * Judges the rules of a scan from outside: told of every request, answer, part and return as the stand-ins see
- * them, it says where a mixer broke one. Times allow {@link #SLACK} for the way over sockets. Scans are
+ * Judges the rules of a scan from outside: told of every request, answer, part and return as the stand-ins
+ * see them, it says where a mixer broke one. Times allow {@link #SLACK} for the way over sockets. Scans are
  * forgotten {@link #KEPT} after their end, so that memory is bounded by the rate.
  */
 public final class Referee {
@@ -92,7 +92,8 @@
   }
 
   /** A client has sent a request whole to one of several mixers. */
-  public void asked(int mixer, String mark, String grade, Map<Integer, Double> shares, String key, Duration at,
+  public void asked(int mixer, String mark, String grade, Map<Integer, Double> shares, String key,
+      Duration at,
       Duration patience) {
     judged++;
     scans.put(mark, new Scan(world.grade(grade), shares, key, at, at.plus(patience), mixer));
@@ -193,7 +194,8 @@
       return;
     }
     if (!world.holders(folio).contains(box)) {
-      foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent to box " + box + ", which does not hold it");
+      foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent to box " + box
+          + ", which does not hold it");
     }
     if (scan.key != null && scan.grade.repeats() == Repeats.NUMBERED && !scan.key.equals(key)) {
       foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent without its key");
--- a/emulator/src/main/java/gingerring/emulator/core/World.java
+++ b/emulator/src/main/java/gingerring/emulator/core/World.java
@@ -11,13 +11,14 @@
 import java.util.TreeSet;
 
 /**
- * A described run: the fleet, the service grades, the clients and the troubles at their times. Read from JSON,
- * where everything has a usual value; what is unknown, or out of its range, is refused with its name.
+ * A described run: the fleet, the service grades, the clients and the troubles at their times. Read from
+ * JSON, where everything has a usual value; what is unknown, or out of its range, is refused with its name.
  * Times stand in milliseconds there, and a pair is a range that a seed draws from.
  */
 public record World(long seed, int boxes, int folios, int copies, int cores, double slowShare, int queueMost,
     double coldFrom, Duration warmUp, double tipMultiple, Duration tipAfter, Duration drainGrace,
-    Duration listLag, Duration handshake, Duration idle, int linesMost, Range pause, Range pauseEvery, double badParts, Duration length, double rate, int clients,
+    Duration listLag, Duration handshake, Duration idle, int linesMost, Range pause, Range pauseEvery,
+    double badParts, Duration length, double rate, int clients,
     int retries, int trips, List<Grade> grades, List<Trouble> troubles) {
   /** A range that is drawn from evenly. */
   public record Range(double low, double high) {
@@ -30,11 +31,12 @@
   public enum Repeats { REISSUABLE, NUMBERED, AT_MOST_ONCE }
 
   /**
-   * A service grade; {@code folios} is the share of all folios that a scan asks for, {@code late} what an answer
-   * after the quoted time still earns, {@code skewed} that a few parts weigh most.
+   * A service grade; {@code folios} is the share of all folios that a scan asks for, {@code late} what an
+   * answer after the quoted time still earns, {@code skewed} that a few parts weigh most.
    */
   public record Grade(String name, double share, Duration quoted, Duration patience, Repeats repeats,
-      Duration window, double floor, double folios, Range work, double earnings, double late, boolean skewed) {}
+      Duration window, double floor, double folios, Range work, double earnings, double late,
+      boolean skewed) {}
 
   /** What goes wrong with so many boxes; {@code size} is a share or a factor, by kind. */
   public record Trouble(Kind kind, Duration at, Duration span, int boxes, double size) {
@@ -114,10 +116,12 @@
       World world = new World((long) number("seed", 1, 0, 1L << 53), boxes,
           (int) number("folios", boxes, 1, 1 << 16), (int) number("copies", Math.min(3, boxes), 1, boxes),
           (int) number("cores", 2, 1, 64), number("slowShare", 0.3, 0, 1),
-          (int) number("queueMost", 40, 1, 1 << 20), number("coldFrom", 0.19, 0.01, 1), span("warmUpMs", 18_000),
+          (int) number("queueMost", 40, 1, 1 << 20), number("coldFrom", 0.19, 0.01, 1), span("warmUpMs",
+          18_000),
           number("tipMultiple", 4, 1, 1000), span("tipAfterMs", 2000), span("drainGraceMs", 1000),
           span("listLagMs", 1500), span("handshakeMs", 0), span("idleMs", 30_000),
-          (int) number("linesMost", 1000, 1, 1 << 20), range("pauseMs", 60, 290), range("pauseEveryMs", 3000, 9500),
+          (int) number("linesMost", 1000, 1, 1 << 20), range("pauseMs", 60, 290), range("pauseEveryMs", 3000,
+          9500),
           number("badParts", 0, 0, 1), span("lengthMs", 20_000), number("rate", 10, 0.01, 1e5),
           (int) number("clients", 40, 1, 50_000), (int) number("retries", 3, 0, 100),
           (int) number("trips", 3, 1, 100), grades.isEmpty() ? usualGrades() : grades, troubles);
--- a/emulator/src/main/java/gingerring/emulator/fleet/Society.java
+++ b/emulator/src/main/java/gingerring/emulator/fleet/Society.java
@@ -6,6 +6,7 @@
 import gingerring.peers.Place;
 import gingerring.peers.Seal;
 import gingerring.peers.Standing;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -20,17 +21,18 @@
 import java.util.TreeMap;
 
 /**
- * Mixers that talk, in simulated time: the cores of {@code peers} as a mixer runs them, with faults by message
- * (loss, delay, doubled and reordered, cut both ways or one way), processes stopped, killed and started anew,
- * clocks set off, and hostile ones. The same setup plays the same.
+ * Mixers that talk, in simulated time: the cores of {@code peers} as a mixer runs them, with faults by
+ * message (loss, delay, doubled and reordered, cut both ways or one way), processes stopped, killed and
+ * started anew, clocks set off, and hostile ones. The same setup plays the same.
  *
- * <p>Boxes are alive or dead by the schedule; each mixer sends them parts at its own rate, benches one that fails
- * it twice in a row, and asks it when it is its turn. What the mixer's own module does is left out: only what talk
- * adds is played here.
+ * <p>Boxes are alive or dead by the schedule; each mixer sends them parts at its own rate, benches one that
+ * fails it twice in a row, and asks it when it is its turn. What the mixer's own module does is left out:
+ * only what talk adds is played here.
  */
 public final class Society {
   /** What goes wrong; {@code some} are those it befalls, {@code others} the far side of a cut. */
-  public record Fault(Kind kind, double atMs, double forMs, Set<Integer> some, Set<Integer> others, double size) {
+  public record Fault(Kind kind, double atMs, double forMs, Set<Integer> some, Set<Integer> others,
+      double size) {
     public enum Kind {
       /** Nothing goes between some and others. */ CUT,
       /** Nothing goes from some to others. */ CUT_ONE_WAY,
@@ -49,10 +51,11 @@
   }
 
   /**
-   * {@code loss}, {@code twice}: shares of letters lost and doubled; {@code delayMs}: the most of an even delay;
-   * {@code clockMs}: clocks are off by as much at the most; {@code rate}: parts a second and mixer.
+   * {@code loss}, {@code twice}: shares of letters lost and doubled; {@code delayMs}: the most of an even
+   * delay; {@code clockMs}: clocks are off by as much at the most; {@code rate}: parts a second and mixer.
    */
-  public record Setup(int mixers, int zones, int boxes, double loss, double twice, double delayMs, double clockMs,
+  public record Setup(int mixers, int zones, int boxes, double loss, double twice, double delayMs,
+      double clockMs,
       double rate, double seconds, long seed, List<Fault> faults, Company.Rules rules) {
     public static Setup usual(int mixers, double seconds, long seed, List<Fault> faults) {
       return new Setup(mixers, 3, 20, 0.02, 0.005, 20, 50, 5, seconds, seed, faults, Company.Rules.usual());
@@ -71,7 +74,9 @@
     public final Map<Integer, Integer> asks = new TreeMap<>();
     /** For each box that came back: when the first, and when all who had benched it, asked it. */
     public final List<double[]> found = new ArrayList<>();
-    /** The largest doubt that an honest mixer had of a box that was alive, and the least of one dead for 10 s. */
+    /**
+     * The largest doubt that an honest mixer had of a box that was alive, and the least of one dead for 10 s.
+     */
     public double doubtOfAlive;
     public double doubtOfDead = Double.NaN;
     /** The largest demand believed over the true one. */
@@ -86,7 +91,7 @@
   private static final int BUFFER = 64;
   private static final double BENCH_MS = 2000;
   private static final long UNIX = 1_700_000_000_000L;
-  private static final byte[] KEY = "a key for play alone".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+  private static final byte[] KEY = "a key for play alone".getBytes(StandardCharsets.US_ASCII);
 
   /** One mixer's process. */
   private final class Node implements Company.Host {
@@ -233,7 +238,8 @@
         return;
       }
       for (int copies = chance.nextDouble() < setup.twice ? 2 : 1; copies > 0; copies--) {
-        agenda.at(agenda.now() + 0.1 + chance.nextDouble() * setup.delayMs, () -> nodes.get(other).arrive(number, letter));
+        agenda.at(agenda.now() + 0.1 + chance.nextDouble() * setup.delayMs, () ->
+            nodes.get(other).arrive(number, letter));
       }
     }
 
@@ -358,7 +364,8 @@
       if (fault.during(agenda.now())) {
         boolean forth = fault.some.contains(from) && fault.others.contains(to);
         boolean back = fault.some.contains(to) && fault.others.contains(from);
-        if (fault.kind == Fault.Kind.CUT && (forth || back) || fault.kind == Fault.Kind.CUT_ONE_WAY && forth) {
+        if (fault.kind == Fault.Kind.CUT && (forth || back) || fault.kind == Fault.Kind.CUT_ONE_WAY
+            && forth) {
           return true;
         }
       }
@@ -455,6 +462,7 @@
 
   private boolean aliveFor(long box, double span) {
     return setup.faults.stream().noneMatch(fault -> fault.kind == Fault.Kind.BOXES_DEAD
-        && fault.some.contains((int) box) && agenda.now() >= fault.atMs && agenda.now() < fault.atMs + fault.forMs + span);
+        && fault.some.contains((int) box) && agenda.now() >= fault.atMs && agenda.now() < fault.atMs
+        + fault.forMs + span);
   }
 }
--- a/emulator/src/main/java/gingerring/emulator/rig/Fleet.java
+++ b/emulator/src/main/java/gingerring/emulator/rig/Fleet.java
@@ -40,8 +40,8 @@
 import java.util.stream.Stream;
 
 /**
- * Plays a {@link Plan}: starts the mixers, the store, the links and the clients, lets things break at their times,
- * and says what came of it. Blocks until every wish has had its end, within bounds.
+ * Plays a {@link Plan}: starts the mixers, the store, the links and the clients, lets things break at their
+ * times, and says what came of it. Blocks until every wish has had its end, within bounds.
  */
 public final class Fleet implements AutoCloseable {
   /** What came of a run. */
@@ -98,7 +98,8 @@
   /** Since when a mixer is away, as the front sees it; null while it is there. */
   private final Duration[] away;
   private final Path folder;
-  private final List<byte[]> keys = List.of("the key of an emulated fleet".getBytes(StandardCharsets.US_ASCII));
+  private final List<byte[]> keys =
+      List.of("the key of an emulated fleet".getBytes(StandardCharsets.US_ASCII));
   private final SplittableRandom chance;
   private final ExecutorService hands = Executors.newCachedThreadPool(task -> {
     Thread thread = new Thread(task, "rig");
@@ -174,7 +175,8 @@
           zero = reactor.now();
           store.begin();
           plan.faults().forEach(this::schedule);
-          new Clients(world, reactor, referee, new Front(), 1, tally, over::countDown).begin(Script.of(world));
+          new Clients(world, reactor, referee, new Front(), 1, tally,
+              over::countDown).begin(Script.of(world));
         });
       });
       if (!over.await(world.length().toMillis() + SPARE_MS, TimeUnit.MILLISECONDS)) {
@@ -265,14 +267,17 @@
     return new Place(0x7F000001, hub.place(mixer).getPort());
   }
 
-  /** Which mixer a client's connection goes to: its own by a draw, or the next while that is known to be away. */
+  /**
+   * Which mixer a client's connection goes to: its own by a draw, or the next while that is known to be away.
+   */
   private final class Front implements Clients.Way {
     @Override public int mixer(int client) {
       double all = plan.mixers() - 1 + plan.uneven();
       double draw = Fate.draw(world.seed(), "front", client) * all;
       int mine = draw < plan.uneven() ? 0 : 1 + (int) (draw - plan.uneven());
       for (int i = 0; i < plan.mixers(); i++) {
-        int mixer = Math.min(plan.mixers() - 1, mine + i < plan.mixers() ? mine + i : mine + i - plan.mixers());
+        int mixer = Math.min(plan.mixers() - 1, mine + i < plan.mixers() ? mine + i : mine
+            + i - plan.mixers());
         Duration since = away[mixer];
         if (since == null || reactor.now().minus(since).compareTo(plan.front()) < 0) {
           return mixer;
--- a/emulator/src/main/java/gingerring/emulator/rig/Hub.java
+++ b/emulator/src/main/java/gingerring/emulator/rig/Hub.java
@@ -13,8 +13,9 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * All links between peers: each mixer tells the others a place of the hub as its own, and what comes there goes on
- * to it as from the sender's place. So each link between two, and each direction of it, can be cut by itself.
+ * All links between peers: each mixer tells the others a place of the hub as its own, and what comes there
+ * goes on to it as from the sender's place. So each link between two, and each direction of it, can be cut by
+ * itself.
  */
 final class Hub {
   /** Whether nothing goes from one to another now. */
--- a/emulator/src/main/java/gingerring/emulator/rig/Liar.java
+++ b/emulator/src/main/java/gingerring/emulator/rig/Liar.java
@@ -13,8 +13,8 @@
 import java.util.SplittableRandom;
 
 /**
- * A peer that holds the fleet's key and says what is false: that every box fails, that it has asked each of them and
- * had an answer, and that its clients want endlessly much. It calls no box and serves no client.
+ * A peer that holds the fleet's key and says what is false: that every box fails, that it has asked each of
+ * them and had an answer, and that its clients want endlessly much. It calls no box and serves no client.
  */
 final class Liar implements Company.Host {
   private static final Duration TICK = Duration.ofMillis(100);
--- a/emulator/src/main/java/gingerring/emulator/rig/Plan.java
+++ b/emulator/src/main/java/gingerring/emulator/rig/Plan.java
@@ -14,8 +14,8 @@
 import java.util.TreeSet;
 
 /**
- * A described run of a fleet: the world, and in {@code fleet} the mixers, their talk and the faults at their times.
- * Everything has a usual value; what is unknown or out of range is refused with its place.
+ * A described run of a fleet: the world, and in {@code fleet} the mixers, their talk and the faults at their
+ * times. Everything has a usual value; what is unknown or out of range is refused with its place.
  *
  * @param peers whether mixers talk; {@code settings} goes into the file of their peers as it is
  * @param uneven how many times the others' clients the first mixer has
@@ -24,7 +24,8 @@
 public record Plan(World world, int mixers, List<String> zones, boolean peers, Map<String, Object> settings,
     double uneven, int liars, Duration front, List<Fault> faults) {
   /** One thing that goes wrong; {@code size} by kind. */
-  public record Fault(Kind kind, Duration at, Duration span, Set<Integer> mixers, Set<Integer> boxes, double size) {
+  public record Fault(Kind kind, Duration at, Duration span, Set<Integer> mixers, Set<Integer> boxes,
+      double size) {
     public enum Kind {
       /** Processes are killed, and new ones start empty after the span. */ KILL,
       /** Processes are stopped, and go on after the span. */ STOP,
@@ -35,7 +36,7 @@
       /** What goes between mixers and boxes takes so many ms more, each way. */ DELAY,
       /** What boxes send to mixers comes at so many bytes a second. */ DRIP,
       /** Connections between mixers and boxes are reset, such a share of them each second. */ RESET,
-      /** Bytes are cut out of such a share of what boxes send to mixers, and the connection ends. */ CUT_BYTES,
+      /** Of such a share of what boxes send to mixers half is cut out, and the connection ends. */ CUT_BYTES,
       /** Such a share of datagrams is lost. */ LOSE,
       /** Such a share of datagrams comes twice. */ DOUBLE,
       /** Datagrams come up to so many ms late, and so in another order. */ REORDER,
@@ -45,7 +46,8 @@
 
   private static final List<String> FLEET = List.of("mixers", "zones", "peers", "settings", "uneven", "liars",
       "frontMs", "faults");
-  private static final List<String> FAULT = List.of("kind", "atMs", "forMs", "mixers", "share", "boxes", "size");
+  private static final List<String> FAULT = List.of("kind", "atMs", "forMs", "mixers", "share", "boxes",
+      "size");
 
   public static Plan read(byte[] json) throws Unfit {
     try {
@@ -75,7 +77,8 @@
       String place = "fleet.faults." + faults.size() + '.';
       faults.add(fault(world, mixers, Fields.object(each, place + " here"), place, faults.size()));
     }
-    return new Plan(world, mixers, List.copyOf(zones), fleet.containsKey("peers") && Fields.flag(fleet, "peers"),
+    return new Plan(world, mixers, List.copyOf(zones), fleet.containsKey("peers") && Fields.flag(fleet,
+        "peers"),
         fleet.containsKey("settings") ? Fields.object(fleet.get("settings"), "fleet.settings") : Map.of(),
         number(fleet, "uneven", "fleet.", 1, 0.01, 1000), (int) number(fleet, "liars", "fleet.", 0, 0, 100),
         millis(number(fleet, "frontMs", "fleet.", 1500, 0, 60_000)), List.copyOf(faults));
@@ -120,7 +123,8 @@
     }
   }
 
-  private static double number(Map<String, Object> told, String name, String place, double usual, double least,
+  private static double number(Map<String, Object> told, String name, String place, double usual,
+      double least,
       double most) throws Unfit, Json.Malformed {
     if (!told.containsKey(name)) {
       return usual;
--- a/emulator/src/main/java/gingerring/emulator/rig/Relay.java
+++ b/emulator/src/main/java/gingerring/emulator/rig/Relay.java
@@ -15,9 +15,9 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * One link between two parties over TCP: what comes at its own place goes on to the far one, as {@link Faults} have
- * it. Cut off, bytes wait as in a sender's buffer, up to a bound at which the connection is reset, and go on once
- * the cut has ended.
+ * One link between two parties over TCP: what comes at its own place goes on to the far one, as {@link
+ * Faults} have it. Cut off, bytes wait as in a sender's buffer, up to a bound at which the connection is
+ * reset, and go on once the cut has ended.
  */
 final class Relay {
   /** What holds for this link now; changed while it runs. */
--- a/emulator/src/main/java/gingerring/emulator/run/Clients.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Clients.java
@@ -67,7 +67,8 @@
   }
 
   /** Clients of several mixers. */
-  public Clients(World world, Reactor reactor, Referee referee, Way way, double pace, Tally tally, Runnable over) {
+  public Clients(World world, Reactor reactor, Referee referee, Way way, double pace, Tally tally,
+      Runnable over) {
     this.world = world;
     this.reactor = reactor;
     this.referee = referee;
@@ -110,7 +111,8 @@
 
   private void ended(Try which, Answer answer) {
     Duration took = reactor.now().minus(which.first);
-    Optional<Duration> again = answer.fate() == Seen.Fate.WHOLE || answer.fate() == Seen.Fate.PART ? Optional.empty()
+    Optional<Duration> again = answer.fate() == Seen.Fate.WHOLE || answer.fate() == Seen.Fate.PART
+        ? Optional.empty()
         : retries.next(which.number, answer.comeBack());
     tally.ended(which.wish, answer, took, reactor.now());
     if (again.isPresent() && took.plus(again.get()).compareTo(which.wish.grade().patience()) < 0) {
@@ -159,7 +161,8 @@
       wire.put(json);
       tally.asked++;
       referee.asked(mixer, mark, grade.name(), next.wish.shares(),
-          grade.repeats() == World.Repeats.NUMBERED ? next.wish.key() : null, reactor.now(), grade.patience());
+          grade.repeats() == World.Repeats.NUMBERED ? next.wish.key() : null, reactor.now(),
+          grade.patience());
       reactor.after(grade.patience().plus(Referee.SLACK), () -> {
         if (mine.equals(mark) && now != null) {
           referee.lost(mark, reactor.now());
--- a/emulator/src/main/java/gingerring/emulator/run/MixerProcess.java
+++ b/emulator/src/main/java/gingerring/emulator/run/MixerProcess.java
@@ -66,7 +66,8 @@
   }
 
   /** Starts one of a fleet. */
-  public static MixerProcess start(World world, InetSocketAddress discovery, String known, Path record, Member member)
+  public static MixerProcess start(World world, InetSocketAddress discovery, String known, Path record,
+      Member member)
       throws IOException {
     Path config = Files.createTempFile("gingerring-mixer", ".json");
     Files.writeString(config, config(world, discovery, known, member));
@@ -224,7 +225,8 @@
         """, member.name(), discovery.getAddress().getHostAddress(), discovery.getPort(), world.seed(), known, grades,
         list(world, grade -> "0"), list(world, grade -> String.valueOf(grade.floor())),
         list(world, grade -> "0.95"), list(world, grade -> "1.0"), world.boxes(), world.copies(),
-        world.folios(), member.fleet(), member.number(), millis(world.idle()), world.trips(), world.coldFrom(),
+        world.folios(), member.fleet(), member.number(), millis(world.idle()), world.trips(),
+        world.coldFrom(),
         millis(world.drainGrace()), millis(world.tipAfter()), world.tipMultiple(), millis(world.warmUp()),
         member.zone(), String.join("\", \"", member.zones()));
   }
--- a/emulator/src/main/java/gingerring/emulator/run/Store.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Store.java
@@ -59,14 +59,15 @@
     String member(String as, View view) {
       return "{\"id\":\"" + id() + "\",\"host_port\":\"127.0.0.1:"
           + view.way.applyAsInt(box.number, listening.address().getPort())
-          + "\",\"locality\":\"" + zones.get(box.number % zones.size()) + "\",\"flavor\":\"emulated\",\"cell\":" + box.number + ",\"phase\":\"" + as
+          + "\",\"locality\":\"" + zones.get(box.number % zones.size())
+          + "\",\"flavor\":\"emulated\",\"cell\":" + box.number + ",\"phase\":\"" + as
           + "\",\"size\":1.0,\"up_since_ms\":" + upSinceMs + "}";
     }
   }
 
   /**
-   * One mixer's sight of the store: its own discovery, which tells it its own addresses of the boxes. {@code way}
-   * makes of a box's number and port the port that this mixer is told.
+   * One mixer's sight of the store: its own discovery, which tells it its own addresses of the boxes. {@code
+   * way} makes of a box's number and port the port that this mixer is told.
    */
   public final class View {
     private final int mixer;
@@ -119,7 +120,10 @@
   private final List<Seat> seats = new ArrayList<>();
   private final List<String> zones;
   private final List<View> views = new ArrayList<>();
-  /** Asks of boxes by second since the start of the reactor, connections made, the most at one box, list calls. */
+  /**
+   * Asks of boxes by second since the start of the reactor, connections made, the most at one box, list
+   * calls.
+   */
   private final Map<Integer, Integer> probes = new TreeMap<>();
   private long linesMade;
   private int linesMost;
@@ -136,7 +140,8 @@
   }
 
   /** The same, with boxes in turn in these zones. */
-  public Store(World world, Reactor reactor, Referee referee, double pace, List<String> zones) throws IOException {
+  public Store(World world, Reactor reactor, Referee referee, double pace,
+      List<String> zones) throws IOException {
     this.zones = zones;
     this.world = world;
     this.reactor = reactor;
@@ -153,7 +158,9 @@
     sweep();
   }
 
-  /** Another mixer's sight of this store; before the reactor runs, or on its thread. Mixer 0 has one already. */
+  /**
+   * Another mixer's sight of this store; before the reactor runs, or on its thread. Mixer 0 has one already.
+   */
   public View view(int mixer, IntBinaryOperator way) throws IOException {
     View view = new View(mixer, way);
     views.add(view);
@@ -180,7 +187,8 @@
         members.add(seat.member(seat.phase, view));
       }
     }
-    return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
+    return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + String.join(",", members)
+        + "]}";
   }
 
   /** The run begins with the first part that comes, which is taken to come at this time of the world. */
@@ -520,7 +528,8 @@
       if (end.equals("spoilt")) {
         put("R" + part.id() + " strange 0 -\nspoilt");
       } else {
-        put("R" + part.id() + ' ' + end + ' ' + (done ? Fate.bits(0, value) >>> 33 : 0) + ' ' + report() + '\n'
+        put("R" + part.id() + ' ' + end + ' ' + (done ? Fate.bits(0, value) >>> 33 : 0) + ' ' + report()
+            + '\n'
             + (done ? value : ""));
       }
     }
--- a/emulator/src/test/java/gingerring/emulator/fleet/SocietyTest.java
+++ b/emulator/src/test/java/gingerring/emulator/fleet/SocietyTest.java
@@ -65,7 +65,8 @@
   @Test void halvesThatWereCutFindEachOtherAgain() {
     Fault even = new Fault(Kind.CUT, 20_000, 40_000, Society.range(0, 15), Society.range(15, 15), 0);
     Fault uneven = new Fault(Kind.CUT, 20_000, 40_000, Society.range(3, 4), Society.range(7, 23), 0);
-    Fault oneWay = new Fault(Kind.CUT_ONE_WAY, 20_000, 40_000, Society.range(0, 15), Society.range(15, 15), 0);
+    Fault oneWay = new Fault(Kind.CUT_ONE_WAY, 20_000, 40_000, Society.range(0, 15), Society.range(15, 15),
+        0);
     for (Fault each : List.of(even, uneven, oneWay)) {
       for (long seed = 3; seed <= 5; seed++) {
         Result result = play(30, 120, seed, each);
@@ -124,7 +125,8 @@
     Fault dead = fault(Kind.BOXES_DEAD, 15_000, 30_000, Set.of(2));
     Result honest = play(16, 70, 9, dead);
     Result claimed = play(16, 70, 9, dead, fault(Kind.CLAIM, 10_000, 60_000, Set.of(3)));
-    assertTrue(claimed.found.get(0)[0] < 8000, "found after " + claimed.found.get(0)[0] + " ms, without claims "
+    assertTrue(claimed.found.get(0)[0] < 8000, "found after " + claimed.found.get(0)[0]
+        + " ms, without claims "
         + honest.found.get(0)[0]);
     assertTrue(claimed.counts.get(Company.Count.NOTES_DISBELIEVED) > 1000);
   }
@@ -133,7 +135,8 @@
   @Test void aLargeFleetThatBeginsAtOnceIsOne() {
     Result result = play(100, 40, 2);
     assertEquals(0, result.strangers);
-    assertTrue(result.bytes.stream().skip(15).allMatch(each -> each[0] < 8192), "calm, and over 8 KB a second");
+    assertTrue(result.bytes.stream().skip(15).allMatch(each -> each[0] < 8192),
+        "calm, and over 8 KB a second");
   }
 
   /** A mixer that missed the word of an answer hears from others that they are served. */
--- a/emulator/src/test/java/gingerring/emulator/rig/FleetRigTest.java
+++ b/emulator/src/test/java/gingerring/emulator/rig/FleetRigTest.java
@@ -48,7 +48,8 @@
   }
 
   @Test void aFleetIsRolledUnderLoad() throws Exception {
-    together(play("\"lengthMs\": 20000, ", ", \"peers\": true, \"faults\": [{\"kind\": \"roll\", \"atMs\": 500, "
+    together(play("\"lengthMs\": 20000, ",
+        ", \"peers\": true, \"faults\": [{\"kind\": \"roll\", \"atMs\": 500, "
         + "\"forMs\": 13500, \"mixers\": [0, 3, 6]}]"));
   }
 
@@ -66,7 +67,8 @@
   }
 
   @Test void whoIsStoppedComesBack() throws Exception {
-    Fleet.Result result = play("\"lengthMs\": 14000, ", ", \"peers\": true, \"faults\": [{\"kind\": \"stop\", "
+    Fleet.Result result = play("\"lengthMs\": 14000, ",
+        ", \"peers\": true, \"faults\": [{\"kind\": \"stop\", "
         + "\"atMs\": 2000, \"forMs\": 5000, \"mixers\": [2, 5]}]");
     together(result);
   }
--- a/peering/src/main/java/gingerring/peering/Guest.java
+++ b/peering/src/main/java/gingerring/peering/Guest.java
@@ -26,7 +26,8 @@
   private Guest() {}
 
   /** {@code about}: as {@link Peering#explain} has it. */
-  public static String ask(InetSocketAddress mixer, List<byte[]> keys, char about, long box) throws IOException {
+  public static String ask(InetSocketAddress mixer, List<byte[]> keys, char about,
+      long box) throws IOException {
     Letters letters = new Letters(Seal.of(keys));
     PeerId self = new PeerId(new SplittableRandom().nextLong());
     Place place = PeerSettings.place(mixer);
@@ -34,7 +35,8 @@
       socket.setSoTimeout(TRY_MS);
       byte[] bytes = new byte[Letters.MOST + 1];
       for (int i = 1; i <= TRIES; i++) {
-        byte[] letter = letters.write(new Letter(self, 1, i, new Body.Query(about, box), List.of(), List.of()));
+        byte[] letter = letters.write(new Letter(self, 1, i, new Body.Query(about, box), List.of(),
+            List.of()));
         socket.send(new DatagramPacket(letter, letter.length, PeerSettings.address(place)));
         try {
           long until = System.nanoTime() + TRY_MS * 1_000_000L;
--- a/peering/src/main/java/gingerring/peering/Main.java
+++ b/peering/src/main/java/gingerring/peering/Main.java
@@ -14,7 +14,8 @@
       System.exit(2);
     }
     try {
-      System.exit(Serve.run(System.getenv(), System.err, null, new Peering(PeerSettings.read(Path.of(args[2])))));
+      System.exit(Serve.run(System.getenv(), System.err, null,
+          new Peering(PeerSettings.read(Path.of(args[2])))));
     } catch (IOException e) {
       System.err.println("gingerring serve: " + e.getMessage());
       System.exit(2);
--- a/peering/src/main/java/gingerring/peering/PeerSettings.java
+++ b/peering/src/main/java/gingerring/peering/PeerSettings.java
@@ -20,8 +20,8 @@
 import java.util.Map;
 
 /**
- * What a mixer is told of its peers, from a JSON file, checked as a whole: all that is wrong with it is said at
- * once, with the name of each place, and then nothing of it is taken.
+ * What a mixer is told of its peers, from a JSON file, checked as a whole: all that is wrong with it is said
+ * at once, with the name of each place, and then nothing of it is taken.
  *
  * @param listen where datagrams come in; port 0 takes any
  * @param advertised where the others reach it, null for the place listened at
@@ -38,8 +38,10 @@
     }
   }
 
-  private static final List<String> NAMES = List.of("listen", "advertise", "seeds", "key_files", "prefer", "zone",
-      "period_ms", "ack_ms", "helpers", "reconnect_ms", "forget_ms", "peers_most", "say_ms", "say_to", "sees_ms",
+  private static final List<String> NAMES = List.of("listen", "advertise", "seeds", "key_files", "prefer",
+      "zone",
+      "period_ms", "ack_ms", "helpers", "reconnect_ms", "forget_ms", "peers_most", "say_ms", "say_to",
+      "sees_ms",
       "believes_ms", "witnesses", "round_ms", "step_ms", "boxes_most", "bytes_per_second");
 
   /** One reading, with what it complains of. */
@@ -92,7 +94,8 @@
           // said below
         }
       }
-      complaints.add(name + " is " + value + ", and has to be an IPv4 address and a port, as \"127.0.0.1:7100\"");
+      complaints.add(name + " is " + value
+          + ", and has to be an IPv4 address and a port, as \"127.0.0.1:7100\"");
       return null;
     }
 
@@ -167,14 +170,16 @@
     Membership.Rules known = usual.membership();
     try {
       return new Company.Rules(
-          new Membership.Rules(reading.span("period_ms", known.period(), 10), reading.span("ack_ms", known.ackIn(), 1),
+          new Membership.Rules(reading.span("period_ms", known.period(), 10), reading.span("ack_ms",
+          known.ackIn(), 1),
               reading.count("helpers", known.helpers(), 0, 100),
               reading.span("reconnect_ms", known.reconnect(), 10),
               reading.span("forget_ms", known.forget(), 1000),
               reading.count("peers_most", known.peersMost(), 1, 10_000)),
           reading.count("zone", usual.zone(), -1, 10_000), reading.span("say_ms", usual.sayEvery(), 50),
           reading.count("say_to", usual.sayTo(), 0, 1000), reading.span("sees_ms", usual.sees(), 100),
-          reading.span("believes_ms", usual.believes(), 100), reading.count("witnesses", usual.witnesses(), 1, 1000),
+          reading.span("believes_ms", usual.believes(), 100), reading.count("witnesses", usual.witnesses(), 1,
+          1000),
           reading.span("round_ms", usual.roundEvery(), 100), reading.span("step_ms", usual.roundStep(), 10),
           reading.count("boxes_most", usual.boxesMost(), 1, 100_000),
           reading.count("bytes_per_second", usual.bytesPerSecond(), 1200, 100_000_000));
--- a/peering/src/main/java/gingerring/peering/PeerSocket.java
+++ b/peering/src/main/java/gingerring/peering/PeerSocket.java
@@ -18,8 +18,8 @@
 
 /**
  * The one datagram socket of a mixer's peers. A thread of its own waits for what comes and leaves it with the
- * loop; at most {@value #WAITING_MOST} datagrams wait there, more are dropped and counted, as one that floods must
- * not take the mixer's memory.
+ * loop; at most {@value #WAITING_MOST} datagrams wait there, more are dropped and counted, as one that floods
+ * must not take the mixer's memory.
  */
 final class PeerSocket implements Closeable {
   static final int WAITING_MOST = 256;
--- a/peering/src/main/java/gingerring/peering/Peering.java
+++ b/peering/src/main/java/gingerring/peering/Peering.java
@@ -60,7 +60,8 @@
       throw new UncheckedIOException(e);
     }
     Company.Rules told = settings.rules();
-    Company.Rules rules = told.zone() >= 0 ? told : new Company.Rules(told.membership(), lent.zone(), told.sayEvery(),
+    Company.Rules rules = told.zone() >= 0 ? told : new Company.Rules(told.membership(), lent.zone(),
+        told.sayEvery(),
         told.sayTo(), told.sees(), told.believes(), told.witnesses(), told.roundEvery(), told.roundStep(),
         told.boxesMost(), told.bytesPerSecond());
     PeerId self = PeerId.named(lent.name());
@@ -69,7 +70,8 @@
     if (settings.prefer() > 0) {
       preference = new Preference(new MixerId(self.number()), settings.prefer(), lent.places(), lent.reach());
     }
-    LOG.info("peers at {}, bound to port {}, as {}", here, address().getPort(), Long.toHexString(self.number()));
+    LOG.info("peers at {}, bound to port {}, as {}", here, address().getPort(),
+        Long.toHexString(self.number()));
     company.begin(settings.seeds());
     socket.start();
     tick();
@@ -143,7 +145,8 @@
   }
 
   @Override public String status() {
-    return "peers: " + company.membership().present().size() + " there, health " + company.membership().health()
+    return "peers: " + company.membership().present().size() + " there, health "
+        + company.membership().health()
         + ", " + company.bytes() + " bytes sent, " + socket.dropped() + " datagrams dropped; counts: "
         + new TreeMap<>(company.counts());
   }
@@ -222,13 +225,16 @@
       Seen seen = each.word().boxes().get(box);
       if (seen != null && lines.size() < LINES) {
         lines.add(String.format(Locale.ROOT, "%x (zone %d, %d ms ago): %.0f answered, %.0f failed",
-            each.word().author().number(), each.word().zone(), now().minus(each.at()).toMillis(), seen.answered(),
+            each.word().author().number(), each.word().zone(), now().minus(each.at()).toMillis(),
+            seen.answered(),
             seen.failed()));
       }
     }
   }
 
-  /** What each asks for a second, and what would be its due of all that is asked if a tenth of it had to go. */
+  /**
+   * What each asks for a second, and what would be its due of all that is asked if a tenth of it had to go.
+   */
   private void shares(List<String> lines) {
     Map<Long, Double> demands = new TreeMap<>();
     company.heard().forEach(each -> demands.put(each.word().author().number(), each.word().demand()));
@@ -238,7 +244,8 @@
     Arrays.fill(even, 1);
     double all = Arrays.stream(wanted).sum();
     double[] shares = FairShares.of(0.9 * all, wanted, even);
-    lines.add(String.format(Locale.ROOT, "%.1f parts a second heard of, by %d mixers; of nine tenths of it:", all,
+    lines.add(String.format(Locale.ROOT, "%.1f parts a second heard of, by %d mixers; of nine tenths of it:",
+        all,
         wanted.length));
     int i = 0;
     for (long who : demands.keySet()) {
--- a/peering/src/test/java/gingerring/peering/PeerSettingsTest.java
+++ b/peering/src/test/java/gingerring/peering/PeerSettingsTest.java
@@ -42,7 +42,8 @@
         {"listen": "nowhere:1", "seeds": ["127.0.0.1:0", 3], "key_files": ["short", "missing"], "witness": 3,
          "say_ms": "often", "say_to": 2.5, "prefer": -1}""");
     String message = assertThrows(PeerSettings.Unfit.class, () -> PeerSettings.read(file)).getMessage();
-    for (String each : List.of("listen is nowhere:1", "seeds.0 is 127.0.0.1:0", "seeds.1 is 3", "key_files.0, short",
+    for (String each : List.of("listen is nowhere:1", "seeds.0 is 127.0.0.1:0", "seeds.1 is 3",
+        "key_files.0, short",
         "key_files.1 names a file that cannot be read: missing", "witness is unknown", "say_ms is often",
         "say_to is 2.5, and has to be a whole number", "prefer is -1")) {
       assertTrue(message.contains(file + ": " + each), () -> each + " is not in " + message);
--- a/peering/src/test/java/gingerring/peering/PeeringTest.java
+++ b/peering/src/test/java/gingerring/peering/PeeringTest.java
@@ -49,7 +49,8 @@
     Member(String name, List<byte[]> keys, Member seed) throws IOException {
       this.name = name;
       Company.Rules usual = Company.Rules.usual();
-      Company.Rules quick = new Company.Rules(new Membership.Rules(Duration.ofMillis(200), Duration.ofMillis(60), 2,
+      Company.Rules quick = new Company.Rules(new Membership.Rules(Duration.ofMillis(200),
+          Duration.ofMillis(60), 2,
           Duration.ofMillis(500), Duration.ofMinutes(1), 100), -1, Duration.ofMillis(100), 3, usual.sees(),
           usual.believes(), 2, Duration.ofMillis(500), Duration.ofMillis(100), 100, 100_000);
       peering = new Peering(new PeerSettings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null,
@@ -158,7 +159,8 @@
   @Test void theyMeetAndMissWhoIsGone() throws IOException {
     fleet(4);
     members.remove(3).stop();
-    until(() -> members.stream().allMatch(each -> each.ask('p').contains("2 of 3 there")), "the fourth is gone");
+    until(() -> members.stream().allMatch(each -> each.ask('p').contains("2 of 3 there")),
+        "the fourth is gone");
     Member back = new Member("m3", KEYS, members.get(1));
     until(() -> members.stream().allMatch(each -> each.ask('p').contains("3 of 3 there")), "it is back");
     back.call(() -> back.peering.end(Duration.ofMillis(100)));
--- a/peers/src/main/java/gingerring/peers/Company.java
+++ b/peers/src/main/java/gingerring/peers/Company.java
@@ -18,16 +18,16 @@
 /**
  * One mixer among its peers: who they are ({@link Membership}), what they say and how much it weighs ({@link
  * Words}, {@link Hearsay}), and whose turn it is to ask a benched box for all ({@link Rota}). Its owner calls
- * {@link #begin} once, {@link #tick} ten times a second, {@link #received} for each datagram, {@link #saw}, {@link
- * #benched}, {@link #asks} and {@link #asked} for what the mixer meets, and asks {@link #turn} and {@link #doubt}
- * when the mixer wants to know; it acts by {@link Host}.
+ * {@link #begin} once, {@link #tick} ten times a second, {@link #received} for each datagram, {@link #saw},
+ * {@link #silent}, {@link #asks} and {@link #asked} for what the mixer meets, and asks {@link #turn} and
+ * {@link #doubt} when the mixer wants to know; it acts by {@link Host}.
  *
- * <p>Nothing that others say is an order. A note that a box has answered lets this mixer ask it too, sooner than
- * it would have; a word that a box fails shortens how long its silence is borne. What any one peer can move is so
- * much and no more, and with nobody heard every answer is what it would be without peers.
+ * <p>Nothing that others say is an order. A note that a box has answered lets this mixer ask it too, sooner
+ * than it would have; a word that a box fails shortens how long its silence is borne. What any one peer can
+ * move is so much and no more, and with nobody heard every answer is what it would be without peers.
  *
- * <p>Bounds: as of its parts; {@link Rules#boxesMost} boxes in hand; one note a box is passed on, the newest; and
- * {@link Rules#bytesPerSecond} sent at the most.
+ * <p>Bounds: as of its parts; {@link Rules#boxesMost} boxes in hand; one note a box is passed on, the newest;
+ * and {@link Rules#bytesPerSecond} sent at the most.
  */
 public final class Company {
   /** How it acts, and the clock. */
@@ -51,18 +51,20 @@
   }
 
   /**
-   * {@code zone}: where this mixer stands, -1 where that is not told; {@code sayEvery} and {@code sayTo}: how often
-   * its word goes out, and to how many drawn by chance; {@code sees}: what span a word tells of; {@code believes}:
-   * how long one counts; {@code witnesses}: how many are needed, see {@link Hearsay} (2f + 1 stand against f that
-   * lie together); {@code roundEvery} and {@code
+   * {@code zone}: where this mixer stands, -1 where that is not told; {@code sayEvery} and {@code sayTo}: how
+   * often its word goes out, and to how many drawn by chance; {@code sees}: what span a word tells of; {@code
+   * believes}: how long one counts; {@code witnesses}: how many are needed, see {@link Hearsay} (2f + 1 stand
+   * against f that lie together); {@code roundEvery} and {@code
    * roundStep}: the rota of asks; {@code bytesPerSecond}: the ceiling.
    */
   public record Rules(Membership.Rules membership, int zone, Duration sayEvery, int sayTo, Duration sees,
-      Duration believes, int witnesses, Duration roundEvery, Duration roundStep, int boxesMost, int bytesPerSecond) {
+      Duration believes, int witnesses, Duration roundEvery, Duration roundStep, int boxesMost,
+      int bytesPerSecond) {
     public Rules {
       if (sayEvery.isZero() || sayEvery.isNegative() || sayTo < 0 || boxesMost < 1
           || believes.compareTo(sayEvery) <= 0) {
-        throw new IllegalArgumentException("a word each " + sayEvery + " to " + sayTo + ", believed for " + believes
+        throw new IllegalArgumentException("a word each " + sayEvery + " to " + sayTo + ", believed for "
+            + believes
             + ", of " + boxesMost + " boxes");
       }
     }
@@ -98,7 +100,10 @@
   /** A box of which others see less fail is sound; how often their words alone may lead to an ask. */
   private static final double SOUND = 0.5;
   private static final Duration BY_WORDS = Duration.ofSeconds(5);
-  /** How long who was wrong of an answer is not believed in one: an honest one may be wrong of a box that falls. */
+  /**
+   * How long who was wrong of an answer is not believed in one: an honest one may be wrong of a box that
+   * falls.
+   */
   private static final Duration MISLED = Duration.ofSeconds(10);
   private static final int MISLED_DOUBLED = 8;
   /** What a bench for silence counts for in one's word, in parts that failed. */
@@ -138,7 +143,9 @@
   private final Budget budget;
   private final Spread<Long, Note> notes;
   private final Map<Long, Matter> matters = new LinkedHashMap<>(16, 0.75f, true);
-  /** Who said of a box that it answers, and it did not: until when nothing of that is believed, and how often. */
+  /**
+   * Who said of a box that it answers, and it did not: until when nothing of that is believed, and how often.
+   */
   private final Map<PeerId, Misled> misled = new LinkedHashMap<>();
   private final Map<Count, Long> counts = new TreeMap<>();
   private Set<Long> listed = Set.of();
@@ -147,7 +154,8 @@
   private long bytes;
 
   /** {@code life}: Unix time in milliseconds at which {@link Host#now} was zero. */
-  public Company(PeerId self, Place here, long life, Rules rules, Seal seal, RandomGenerator chance, Host host) {
+  public Company(PeerId self, Place here, long life, Rules rules, Seal seal, RandomGenerator chance,
+      Host host) {
     this.self = self;
     this.life = life;
     this.rules = rules;
@@ -226,7 +234,7 @@
       return;
     }
     count(Count.TAKEN);
-    membership.heard(letter.author(), from, letter.body(), letter.news());
+    membership.heard(letter.author(), letter.life(), from, letter.body(), letter.news());
     if (letter.body() instanceof Body.Say say) {
       count(words.heard(say.word(), host.now()) == Words.Verdict.TAKEN ? Count.WORDS : Count.WORDS_DROPPED);
     } else if (letter.body() instanceof Body.Query query) {
@@ -321,8 +329,8 @@
   }
 
   /**
-   * Whether this mixer may ask a benched box now: where its turn has come and nobody was heard to have asked in
-   * this round, or another had an answer. Alone, always.
+   * Whether this mixer may ask a benched box now: where its turn has come and nobody was heard to have asked
+   * in this round, or another had an answer. Alone, always.
    */
   public boolean turn(long box) {
     List<PeerId> present = membership.present();
@@ -421,7 +429,8 @@
     }
     Duration due = matter.rota.due(mixers(), common()).minus(common());
     return "own turn in " + due.toMillis() + " ms" + (matter.last == null ? "" : ", last asked by "
-        + Long.toHexString(matter.last.author().number()) + (matter.last.answered() ? ": answered" : ": no answer yet"));
+        + Long.toHexString(matter.last.author().number()) + (matter.last.answered() ? ": answered"
+        : ": no answer yet"));
   }
 
   public Membership membership() {
--- a/peers/src/main/java/gingerring/peers/Hearsay.java
+++ b/peers/src/main/java/gingerring/peers/Hearsay.java
@@ -21,10 +21,10 @@
   private final double demandMost;
 
   /**
-   * {@code witnesses}: so many are needed before others are believed, half of all who are heard among them, in two
-   * zones where they stand in more than one; {@code partsLeast}: who saw fewer parts of a box is no witness; {@code lent}: what all of them
-   * together count for, in own parts; {@code demandMost}: how many times the median demand one peer may
-   * claim.
+   * {@code witnesses}: so many are needed before others are believed, half of all who are heard among them,
+   * in two zones where they stand in more than one; {@code partsLeast}: who saw fewer parts of a box is no
+   * witness; {@code lent}: what all of them together count for, in own parts; {@code demandMost}: how many
+   * times the median demand one peer may claim.
    */
   public Hearsay(int witnesses, double partsLeast, double lent, double demandMost) {
     if (witnesses < 1 || !(partsLeast > 0) || !(lent >= 0) || !(demandMost >= 1)) {
@@ -53,7 +53,8 @@
         zones.add(each.word().zone());
       }
     }
-    boolean believed = told.size() >= witnesses && 2 * told.size() >= words.size() && zones.size() >= Math.min(2, allZones.size());
+    boolean believed = told.size() >= witnesses && 2 * told.size() >= words.size()
+        && zones.size() >= Math.min(2, allZones.size());
     double weight = believed ? lent : 0;
     double all = own.parts() + weight;
     return all == 0 ? Double.NaN : (own.failed() + (believed ? weight * median(told) : 0)) / all;
--- a/peers/src/main/java/gingerring/peers/Letters.java
+++ b/peers/src/main/java/gingerring/peers/Letters.java
@@ -11,14 +11,14 @@
 import java.util.TreeMap;
 
 /**
- * Letters as bytes, most significant byte first: form 2 (1 byte), author, life, number (8 each), kind (1), the
- * body, a count of news (1) with 35 bytes each, a count of notes (1) with 33 each, and the proof ({@link Seal}).
- * At most {@value #MOST} bytes, so that a letter is one packet on any usual way.
+ * Letters as bytes, most significant byte first: form 2 (1 byte), author, life, number (8 each), kind (1),
+ * the body, a count of news (1) with 35 bytes each, a count of notes (1) with 33 each, and the proof ({@link
+ * Seal}). At most {@value #MOST} bytes, so that a letter is one packet on any usual way.
  *
- * <p>Bodies: ping number (4), peer (8); ack and nack number (4); help number (4), peer (8), place (6); ask from
- * (8); page next (8), count (1), standings; say zone (4), demand (4, a float), count (2), then by number box (8),
- * answered, failed (2 each, whole parts, 65,535 at most); pass nothing; query about (1), box (8); reply length (2),
- * text in UTF-8.
+ * <p>Bodies: ping number (4), peer (8); ack and nack number (4); help number (4), peer (8), place (6); ask
+ * from (8); page next (8), count (1), standings; say zone (4), demand (4, a float), count (2), then by number
+ * box (8), answered, failed (2 each, whole parts, 65,535 at most); pass nothing; query about (1), box (8);
+ * reply length (2), text in UTF-8.
  */
 public final class Letters {
   /** Bytes that are no letter, or not proved; the message says which. */
@@ -158,7 +158,8 @@
       List<Standing> news = standings(in);
       List<Note> notes = new ArrayList<>();
       for (int i = Byte.toUnsignedInt(in.get()); i > 0; i--) {
-        notes.add(new Note(new PeerId(in.getLong()), in.getLong(), in.getLong(), in.getLong(), in.get() == 1));
+        notes.add(new Note(new PeerId(in.getLong()), in.getLong(), in.getLong(), in.getLong(),
+            in.get() == 1));
       }
       if (in.hasRemaining()) {
         throw new Refused("proved, and no letter: " + in.remaining() + " bytes over");
@@ -221,7 +222,8 @@
     int count = Short.toUnsignedInt(in.getShort());
     Map<Long, Seen> boxes = new HashMap<>();
     for (int i = 0; i < count; i++) {
-      boxes.put(in.getLong(), new Seen(Short.toUnsignedInt(in.getShort()), Short.toUnsignedInt(in.getShort())));
+      boxes.put(in.getLong(), new Seen(Short.toUnsignedInt(in.getShort()),
+          Short.toUnsignedInt(in.getShort())));
     }
     if (boxes.size() != count) {
       throw new Refused("proved, and no letter: a box stands there twice");
--- a/peers/src/main/java/gingerring/peers/Membership.java
+++ b/peers/src/main/java/gingerring/peers/Membership.java
@@ -15,16 +15,17 @@
 
 /**
  * Who the other mixers are: SWIM (Das, Gupta and Motivala, DSN 2002) with the local health, the growing
- * confidence in a suspicion and the word to the suspected first of Lifeguard (Dadgar, Phillips and Currey, DSN-W
- * 2018). Its host calls {@link #begin} once, {@link #tick} some times within {@code Rules.ackIn}, {@link #heard}
- * for each letter that was proved, {@link #news} for what the next letter is to carry; it acts by {@link Host}.
+ * confidence in a suspicion and the word to the suspected first of Lifeguard (Dadgar, Phillips and Currey,
+ * DSN-W 2018). Its host calls {@link #begin} once, {@link #tick} some times within {@code Rules.ackIn},
+ * {@link #heard} for each letter that was proved, {@link #news} for what the next letter is to carry; it acts
+ * by {@link Host}.
  *
- * <p>What a mixer does alone, at once: it asks one other each period, through helpers where that is silent, and
- * suspects it where these are too. Who is suspected and lives says so with a higher rise. What is suspected long
- * enough is gone, and comes back under the same name with a higher rise or a later life; words of an earlier life
- * never count. Each half of a cut fleet takes the other for gone and asks one of the gone now and then, by which
- * they find each other again. A process that learns of a later life under its own name is {@link #superseded}: it
- * falls silent, so that of two with one name only the later speaks.
+ * <p>What a mixer does alone, at once: it asks one other each period, through helpers where that is silent,
+ * and suspects it where these are too. Who is suspected and lives says so with a higher rise. What is
+ * suspected long enough is gone, and comes back under the same name with a higher rise or a later life; words
+ * of an earlier life never count. Each half of a cut fleet takes the other for gone and asks one of the gone
+ * now and then, by which they find each other again. A process that learns of a later life under its own name
+ * is {@link #superseded}: it falls silent, so that of two with one name only the later speaks.
  *
  * <p>Bounds: {@code Rules.peersMost} peers, newcomers beyond are turned away and counted; as much news; four
  * errands for others at once from any one peer, 64 in all. Memory: some 300 bytes a peer.
@@ -43,8 +44,9 @@
 
   /**
    * {@code period}: between two asks; {@code ackIn}: how long an answer may take before helpers are asked;
-   * {@code helpers}: so many are; {@code reconnect}: how often one of the gone, or a place told at the start, is
-   * tried; {@code forget}: how long the gone are remembered; {@code peersMost}: how many are known at most.
+   * {@code helpers}: so many are; {@code reconnect}: how often one of the gone, or a place told at the start,
+   * is tried; {@code forget}: how long the gone are remembered; {@code peersMost}: how many are known at
+   * most.
    */
   public record Rules(Duration period, Duration ackIn, int helpers, Duration reconnect, Duration forget,
       int peersMost) {
@@ -112,7 +114,9 @@
   private record Errand(Place back, int number, Duration at) {}
 
   private static final int HEALTH_MOST = 8;
-  /** Lifeguard's alpha and beta: the least and the most of a suspicion, in periods by the fleet's logarithm. */
+  /**
+   * Lifeguard's alpha and beta: the least and the most of a suspicion, in periods by the fleet's logarithm.
+   */
   private static final double SUSPICION_LEAST = 4;
   private static final double SUSPICION_MOST = 6;
   /** So many others who suspect the same make a suspicion as short as it gets. */
@@ -213,8 +217,9 @@
   }
 
   /**
-   * A suspicion has run out. It may be of a cut that has ended since, so it is asked one last time, and nobody is
-   * taken for gone by one who hears it: it is told of its suspicion again, against which it can speak.
+   * A suspicion has run out. It may be of a cut that has ended since, so it is asked one last time, and
+   * nobody is taken for gone by one who hears it: it is told of its suspicion again, against which it can
+   * speak.
    */
   private void runOut(Member member, Duration now) {
     if (member.lastAsked == null) {
@@ -324,14 +329,16 @@
     if (wanted < 1) {
       return Duration.ofNanos((long) least);
     }
-    double share = Math.log(member.accusers.size()) / Math.log(wanted + 1.0); // the first accuser is no confirmer
+    double share = Math.log(member.accusers.size()) / Math.log(wanted
+        + 1.0); // the first accuser is no confirmer
     return Duration.ofNanos((long) Math.max(least, least * SUSPICION_MOST * (1 - share)));
   }
 
   /**
-   * One of the gone is asked whom it knows, or a place told at the start at which nobody known stands: so halves of a
-   * fleet meet again, and islands that began at several such places. Else one who is there is asked for a page from anywhere in its list, which mends what news did not
-   * bring; a page alone, so that its cost is the same in a fleet of any size.
+   * One of the gone is asked whom it knows, or a place told at the start at which nobody known stands: so
+   * halves of a fleet meet again, and islands that began at several such places. Else one who is there is
+   * asked for a page from anywhere in its list, which mends what news did not bring; a page alone, so that
+   * its cost is the same in a fleet of any size.
    */
   private void reconnect(Duration now) {
     members.values().removeIf(each -> !each.standing.there()
@@ -357,8 +364,8 @@
     health = Math.max(0, Math.min(HEALTH_MOST, health + steps));
   }
 
-  /** A letter has come that was proved to be of the fleet. */
-  public void heard(PeerId author, Place from, Body body, Collection<Standing> news) {
+  /** A letter of a mixer in that life has come that was proved to be of the fleet. */
+  public void heard(PeerId author, long authorLife, Place from, Body body, Collection<Standing> news) {
     if (superseded || left) {
       return;
     }
@@ -375,9 +382,9 @@
       sender.lastTold = now;
       host.send(from, new Body.Page(List.of(sender.standing), 0));
     }
-    if (!members.containsKey(author.number()) && !(body instanceof Body.Ask) && !(body instanceof Body.Page)
+    if ((sender == null || authorLife > sender.standing.life()) && !(body instanceof Body.Ask) && !(body instanceof Body.Page)
         && !(body instanceof Body.Query)) {
-      // whose own word was lost, or has been forgotten: it is to say who it is
+      // whose own word was lost, or has been forgotten, or was of an earlier life: it is to say who it is
       host.send(from, new Body.Ask(STRANGER));
     }
     if (body instanceof Body.Ping ping) {
--- a/peers/src/main/java/gingerring/peers/Sight.java
+++ b/peers/src/main/java/gingerring/peers/Sight.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 
 /**
- * What this mixer itself saw of each box of late, in buckets of a ring, and which of it is worth telling first: the
- * boxes that failed, then those that answered most. At most {@code boxesMost} boxes: what was seen of others is not
- * kept, and counted. 16 bytes a box and bucket.
+ * What this mixer itself saw of each box of late, in buckets of a ring, and which of it is worth telling
+ * first: the boxes that failed, then those that answered most. At most {@code boxesMost} boxes: what was seen
+ * of others is not kept, and counted. 16 bytes a box and bucket.
  */
 final class Sight {
   private static final int BUCKETS = 5;
--- a/peers/src/main/java/gingerring/peers/Spread.java
+++ b/peers/src/main/java/gingerring/peers/Spread.java
@@ -7,10 +7,10 @@
 import java.util.Map;
 
 /**
- * News that each mixer passes on a few times beside whatever it sends (Das, Gupta and Motivala, "SWIM", DSN 2002,
- * 4.1): of each subject the newest alone, what was passed on least often first, each so many times as the
- * logarithm of the fleet's size asks for. At most {@code most} subjects: what was passed on most often goes for
- * what is new, and is counted.
+ * News that each mixer passes on a few times beside whatever it sends (Das, Gupta and Motivala, "SWIM", DSN
+ * 2002, 4.1): of each subject the newest alone, what was passed on least often first, each so many times as
+ * the logarithm of the fleet's size asks for. At most {@code most} subjects: what was passed on most often
+ * goes for what is new, and is counted.
  */
 final class Spread<S, N> {
   private static final class Item<N> {
@@ -38,7 +38,8 @@
 
   void add(S subject, N news) {
     if (!items.containsKey(subject) && items.size() >= most) {
-      S oldest = items.entrySet().stream().max(Comparator.comparingInt(each -> each.getValue().sent)).orElseThrow()
+      S oldest = items.entrySet().stream().max(Comparator.comparingInt(each ->
+          each.getValue().sent)).orElseThrow()
           .getKey();
       items.remove(oldest);
       dropped++;
--- a/peers/src/test/java/gingerring/peers/LettersTest.java
+++ b/peers/src/test/java/gingerring/peers/LettersTest.java
@@ -56,7 +56,8 @@
         for (int i = chance.nextInt(Letters.boxes(6, 4) + 1); i > 0; i--) {
           boxes.put(chance.nextLong(), new Seen(chance.nextInt(65_536), chance.nextInt(65_536)));
         }
-        yield new Body.Say(new Word(author, life, number, chance.nextInt(-1, 9), chance.nextInt(1000), boxes));
+        yield new Body.Say(new Word(author, life, number, chance.nextInt(-1, 9), chance.nextInt(1000),
+            boxes));
       }
       case 7 -> new Body.Query((char) chance.nextInt(256), chance.nextLong());
       case 8 -> new Body.Reply("x\u00e9".repeat(chance.nextInt(200)));
@@ -64,7 +65,8 @@
     };
     List<Note> notes = new ArrayList<>();
     for (int i = chance.nextInt(5); i > 0; i--) {
-      notes.add(new Note(new PeerId(chance.nextLong()), chance.nextLong(), chance.nextLong(), chance.nextLong(),
+      notes.add(new Note(new PeerId(chance.nextLong()), chance.nextLong(), chance.nextLong(),
+          chance.nextLong(),
           chance.nextBoolean()));
     }
     return new Letter(author, life, number, body, standings(chance, 6), notes);
@@ -81,7 +83,8 @@
     byte[] bent = bytes.clone();
     bent[chance.nextInt(bent.length)] ^= (byte) (1 << chance.nextInt(8));
     assertThrows(Letters.Refused.class, () -> letters.read(bent));
-    assertThrows(Letters.Refused.class, () -> letters.read(Arrays.copyOf(bytes, chance.nextInt(bytes.length))));
+    assertThrows(Letters.Refused.class, () -> letters.read(Arrays.copyOf(bytes,
+        chance.nextInt(bytes.length))));
     assertThrows(Letters.Refused.class, () -> letters.read(Arrays.copyOf(bytes, bytes.length + 1)));
     assertThrows(Letters.Refused.class, () -> with(NEXT).read(bytes));
   }
--- a/peers/src/test/java/gingerring/peers/MembershipTest.java
+++ b/peers/src/test/java/gingerring/peers/MembershipTest.java
@@ -49,7 +49,7 @@
   }
 
   private void told(Standing... standings) {
-    membership.heard(new PeerId(1), place(1), new Body.Pass(), List.of(standings));
+    membership.heard(new PeerId(1), 1, place(1), new Body.Pass(), List.of(standings));
   }
 
   private void pass(long ms) {
@@ -60,7 +60,8 @@
   }
 
   private State state(int peer) {
-    return membership.all().stream().filter(each -> each.peer().number() == peer).map(Standing::state).findFirst()
+    return membership.all().stream().filter(each -> each.peer().number() == peer).map(Standing::state)
+        .findFirst()
         .orElse(null);
   }
 
@@ -79,11 +80,12 @@
     pass(300);
     List<Body.Help> helps = sent(Body.Help.class);
     assertEquals(2, helps.size()); // all others
-    assertTrue(helps.stream().allMatch(help -> help.peer().number() == asked && help.number() == ping.number()));
+    assertTrue(helps.stream().allMatch(help -> help.peer().number() == asked
+        && help.number() == ping.number()));
     assertEquals(State.HERE, state(asked));
     // a helper had its answer: nothing is suspected
     int helper = asked == 1 ? 2 : 1;
-    membership.heard(new PeerId(helper), place(helper), new Body.Ack(ping.number()), List.of());
+    membership.heard(new PeerId(helper), 1, place(helper), new Body.Ack(ping.number()), List.of());
     pass(700);
     assertEquals(State.HERE, state(asked));
     assertEquals(0, membership.count(Membership.Count.SUSPECTED));
@@ -123,7 +125,7 @@
       int before = sent(Body.Ping.class).size();
       pass(50);
       if (sent(Body.Ping.class).size() > before) {
-        membership.heard(new PeerId(1), place(1), new Body.Pass(), List.of());
+        membership.heard(new PeerId(1), 1, place(1), new Body.Pass(), List.of());
       }
     }
     assertEquals(State.SUSPECTED, state(1));
@@ -133,8 +135,8 @@
   @Test void whoIsTakenForGoneAndSpeaksIsToldSo() {
     membership.begin(List.of());
     told(here(1, 1, 0, State.GONE), here(2, 1, 0, State.HERE));
-    membership.heard(new PeerId(1), place(1), new Body.Pass(), List.of());
-    membership.heard(new PeerId(1), place(1), new Body.Pass(), List.of());
+    membership.heard(new PeerId(1), 1, place(1), new Body.Pass(), List.of());
+    membership.heard(new PeerId(1), 1, place(1), new Body.Pass(), List.of());
     List<Body.Page> told = sent(Body.Page.class);
     assertEquals(1, told.size(), "once a period");
     assertEquals(State.GONE, told.get(0).standings().get(0).state());
@@ -144,7 +146,8 @@
   @Test void speaksAgainstItsOwnSuspicion() {
     membership.begin(List.of());
     told(here(1, 1, 0, State.HERE), new Standing(SELF, HERE, LIFE, 0, State.SUSPECTED, new PeerId(1)));
-    Standing own = membership.news(10).stream().filter(each -> each.peer().equals(SELF)).findFirst().orElseThrow();
+    Standing own = membership.news(10).stream().filter(each -> each.peer().equals(SELF)).findFirst()
+        .orElseThrow();
     assertEquals(State.HERE, own.state());
     assertEquals(1, own.rise());
     assertEquals(1, membership.health());
@@ -182,41 +185,46 @@
     assertTrue(membership.superseded());
     sent.clear();
     pass(20_000);
-    membership.heard(new PeerId(1), place(1), new Body.Ping(1, SELF), List.of());
+    membership.heard(new PeerId(1), 1, place(1), new Body.Ping(1, SELF), List.of());
     assertEquals(List.of(), sent);
   }
 
   /** Whose own first word was lost is asked who it is as soon as it says anything. */
   @Test void whoIsUnknownIsAskedWhoItIs() {
     membership.begin(List.of());
-    membership.heard(new PeerId(9), place(9), new Body.Pass(), List.of());
+    membership.heard(new PeerId(9), 1, place(9), new Body.Pass(), List.of());
     assertEquals(List.of(place(9)), to);
     assertEquals(1, sent(Body.Ask.class).size());
-    membership.heard(new PeerId(9), place(9), new Body.Page(List.of(here(9, 3, 0, State.HERE)), 0), List.of());
+    membership.heard(new PeerId(9), 3, place(9), new Body.Page(List.of(here(9, 3, 0, State.HERE)), 0),
+        List.of());
     assertEquals(3, membership.life(new PeerId(9)));
+    // and again where it speaks in a life that it was not known in
+    sent.clear();
+    membership.heard(new PeerId(9), 4, place(9), new Body.Pass(), List.of());
+    assertEquals(1, sent(Body.Ask.class).size());
   }
 
   /** An address that is another's by now does not answer for whom it was before. */
   @Test void answersForItselfAlone() {
-    membership.heard(new PeerId(1), place(1), new Body.Ping(1, new PeerId(99)), List.of());
+    membership.heard(new PeerId(1), 1, place(1), new Body.Ping(1, new PeerId(99)), List.of());
     assertEquals(List.of(), sent(Body.Ack.class));
     assertEquals(1, membership.count(Membership.Count.NOT_ME));
-    membership.heard(new PeerId(1), place(1), new Body.Ping(2, SELF), List.of());
+    membership.heard(new PeerId(1), 1, place(1), new Body.Ping(2, SELF), List.of());
     assertEquals(List.of(new Body.Ack(2)), sent(Body.Ack.class));
   }
 
   @Test void helpsAndSaysWhereItCannot() {
     membership.begin(List.of());
-    membership.heard(new PeerId(1), place(1), new Body.Help(7, new PeerId(2), place(2)), List.of());
+    membership.heard(new PeerId(1), 1, place(1), new Body.Help(7, new PeerId(2), place(2)), List.of());
     Body.Ping ping = sent(Body.Ping.class).get(0);
-    membership.heard(new PeerId(2), place(2), new Body.Ack(ping.number()), List.of());
+    membership.heard(new PeerId(2), 1, place(2), new Body.Ack(ping.number()), List.of());
     assertEquals(new Body.Ack(7), sent.get(sent.size() - 1));
-    membership.heard(new PeerId(1), place(1), new Body.Help(8, new PeerId(2), place(2)), List.of());
+    membership.heard(new PeerId(1), 1, place(1), new Body.Help(8, new PeerId(2), place(2)), List.of());
     pass(300);
     assertTrue(sent.contains(new Body.Nack(8)));
     // one peer has so many errands open at once, and no more
     for (int i = 0; i < 20; i++) {
-      membership.heard(new PeerId(1), place(1), new Body.Help(100 + i, new PeerId(2), place(2)), List.of());
+      membership.heard(new PeerId(1), 1, place(1), new Body.Help(100 + i, new PeerId(2), place(2)), List.of());
     }
     assertEquals(16, membership.count(Membership.Count.TOO_BUSY));
   }
@@ -228,7 +236,7 @@
     long from = 0;
     Set<PeerId> told = new HashSet<>();
     do {
-      membership.heard(new PeerId(1), place(1), new Body.Ask(from), List.of());
+      membership.heard(new PeerId(1), 1, place(1), new Body.Ask(from), List.of());
       Body.Page page = (Body.Page) sent.get(sent.size() - 1);
       assertEquals(SELF, page.standings().get(0).peer(), "each page begins with who sends it");
       page.standings().forEach(each -> told.add(each.peer()));
@@ -250,11 +258,11 @@
           @Override public void changed(Standing standing) {}
         });
     for (int i = 1; i <= 4; i++) {
-      small.heard(new PeerId(1), place(1), new Body.Pass(), List.of(here(i, 1, 0, State.HERE)));
+      small.heard(new PeerId(1), 1, place(1), new Body.Pass(), List.of(here(i, 1, 0, State.HERE)));
     }
     assertEquals(3, small.all().size());
     assertEquals(1, small.count(Membership.Count.NO_ROOM));
-    small.heard(new PeerId(1), place(1), new Body.Pass(),
+    small.heard(new PeerId(1), 1, place(1), new Body.Pass(),
         List.of(here(2, 1, 0, State.GONE), here(4, 1, 0, State.HERE)));
     assertEquals(List.of(new PeerId(1), new PeerId(3), new PeerId(4)), small.present());
   }
--- a/peers/src/test/java/gingerring/peers/PeersLayoutTest.java
+++ b/peers/src/test/java/gingerring/peers/PeersLayoutTest.java
@@ -12,7 +12,8 @@
     JavaClasses classes = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
         .importPackages("gingerring.peers");
     ArchRuleDefinition.classes().should().onlyDependOnClassesThat().resideInAnyPackage("gingerring.peers",
-        "gingerring.share", "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util", "java.util.function",
+        "gingerring.share", "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util",
+        "java.util.function",
         "java.util.stream",
         "java.util.random", "java.time", "java.nio", "java.security",
         "javax.crypto", "javax.crypto.spec").check(classes);
--- a/share/src/main/java/gingerring/share/Preference.java
+++ b/share/src/main/java/gingerring/share/Preference.java
@@ -8,10 +8,11 @@
 import java.util.TreeMap;
 
 /**
- * The boxes that one mixer prefers, as its list and its trust move: a {@link Cover} of all that it trusts. Call
- * {@link #listed} for each list, {@link #distrusts} and {@link #trusts} when a box is benched and back, and ask
- * {@link #prefers}. Where a box that it preferred fails, others of that box's folios stand in at once; when it is
- * back, so is the old choice. Before the first list, and with nothing trusted, all are preferred.
+ * The boxes that one mixer prefers, as its list and its trust move: a {@link Cover} of all that it trusts.
+ * Call {@link #listed} for each list, {@link #distrusts} and {@link #trusts} when a box is benched and back,
+ * and ask {@link #prefers}. Where a box that it preferred fails, others of that box's folios stand in at
+ * once; when it is back, so is the old choice. Before the first list, and with nothing trusted, all are
+ * preferred.
  */
 public final class Preference {
   /** A box, and the cell of the ring that it stands in. */
@@ -27,8 +28,8 @@
   private long moved;
 
   /**
-   * {@code keep}: holders preferred of each folio; {@code places}: cells of the ring; {@code reach}: how many cells
-   * from a folio's own on hold it.
+   * {@code keep}: holders preferred of each folio; {@code places}: cells of the ring; {@code reach}: how many
+   * cells from a folio's own on hold it.
    */
   public Preference(MixerId self, int keep, int places, int reach) {
     if (keep < 1 || places < 1 || reach < 1) {
--- /dev/null
+++ b/share/src/test/java/gingerring/share/RoomBeliefTest.java
@@ -0,0 +1,85 @@
+package gingerring.share;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class RoomBeliefTest {
+  private static Duration ms(long ms) {
+    return Duration.ofMillis(ms);
+  }
+
+  @Test void whileNothingIsRefusedAllIsOnesOwnDemand() {
+    RoomBelief belief = new RoomBelief(1, 0.02, ms(2000));
+    belief.told(1000, 0, ms(0));
+    assertEquals(70, belief.portion(new double[] {70, 900}, new double[] {1, 1}, 0));
+    belief.told(1000, 5, ms(250)); // by chance
+    assertEquals(Double.POSITIVE_INFINITY, belief.room());
+  }
+
+  @Test void theRoomIsWhatWasAnsweredWhereSomeWereRefused() {
+    RoomBelief belief = new RoomBelief(1, 0.02, ms(2000));
+    belief.told(800, 200, ms(0));
+    assertEquals(800, belief.room());
+    assertEquals(700, belief.portion(new double[] {900, 100}, new double[] {1, 1}, 0));
+    // reports of unlike age sum up to less for a moment: no reason to believe in less room
+    belief.told(500, 50, ms(250));
+    assertEquals(800, belief.room());
+    // but there is, where no better is seen for the window
+    belief.told(500, 50, ms(2400));
+    assertEquals(500, belief.room());
+  }
+
+  @Test void isTriedLargerFasterAndFasterAndNotAgainAfterARefusal() {
+    RoomBelief belief = new RoomBelief(1, 0.02, ms(2000));
+    belief.told(800, 200, ms(0));
+    belief.told(800, 0, ms(1000));
+    assertEquals(800, belief.room(), "the last refusal is too new");
+    double before = belief.room();
+    double step = 0;
+    for (long at = 2000; at < 8000; at += 250) {
+      belief.told(belief.room(), 0, ms(at));
+      double now = belief.room() / before - 1;
+      assertTrue(now >= step - 1e-12 && now <= 0.02 + 1e-12);
+      step = now;
+      before = belief.room();
+    }
+    assertEquals(0.02, step, 1e-9);
+    double room = belief.room();
+    belief.told(0.5 * room, 0, ms(8000)); // it does not bind: nothing is learnt
+    assertEquals(room, belief.room());
+  }
+
+  /** The most of a window, against a list of all. */
+  @Property(tries = 100, seed = "81")
+  void believesInTheMostOfItsWindow(@ForAll long seed) {
+    SplittableRandom chance = new SplittableRandom(seed);
+    RoomBelief belief = new RoomBelief(1, 0.02, ms(1000));
+    List<double[]> told = new ArrayList<>();
+    long at = 0;
+    for (int i = 0; i < 100; i++) {
+      at += chance.nextInt(400);
+      double answered = 1 + chance.nextInt(1000);
+      belief.told(answered, answered, ms(at));
+      told.add(new double[] {at, answered});
+      long now = at;
+      double most = told.stream().filter(each -> now - each[0] <= 1000).mapToDouble(each -> each[1]).max()
+          .orElseThrow();
+      assertEquals(most, belief.room());
+    }
+  }
+
+  @Test void refusesWhatCannotBe() {
+    assertThrows(IllegalArgumentException.class, () -> new RoomBelief(0, 0.02, ms(1)));
+    assertThrows(IllegalArgumentException.class, () -> new RoomBelief(1, 2, ms(1)));
+    assertThrows(IllegalArgumentException.class, () -> new RoomBelief(1, 0.02, ms(1)).told(-1, 0, ms(0)));
+  }
+}
