--- a/emulator/src/main/java/gingerring/emulator/fleet/Society.java
+++ b/emulator/src/main/java/gingerring/emulator/fleet/Society.java
@@ -75,10 +75,9 @@
     /** For each box that came back: when the first, and when all who had benched it, asked it. */
     public final List<double[]> found = new ArrayList<>();
     /**
-     * The largest doubt that an honest mixer had of a box that was alive, and the least of one dead for 10 s.
+     * The largest doubt that an honest mixer had of a box that was alive.
      */
     public double doubtOfAlive;
-    public double doubtOfDead = Double.NaN;
     /** The largest demand believed over the true one. */
     public double demand;
     /** Pairs of living mixers that do not know each other as there, at the end. */
