--- a/mixer/src/main/java/gingerring/back/Back.java
+++ b/mixer/src/main/java/gingerring/back/Back.java
@@ -84,6 +84,17 @@
     }
   }
 
+  /**
+   * The list says that it drains or has gone: what waits for a connection to it has not left, and will not. A
+   * send counts from its first byte, which may be a whole dial after the list was told.
+   */
+  public void withhold(SearcherId id) {
+    Station station = stations.get(id);
+    if (station != null) {
+      List.copyOf(station.links).forEach(Link::withhold);
+    }
+  }
+
   /** Takes a trip along; it leaves with the others of this turn. */
   public void send(Errand errand) {
     Station station = stations.get(errand.searcher);
--- a/mixer/src/main/java/gingerring/back/Link.java
+++ b/mixer/src/main/java/gingerring/back/Link.java
@@ -89,6 +89,17 @@
     }
   }
 
+  /** Calls that wait for the connection end without having been sent. */
+  void withhold() {
+    while (!waiting.isEmpty()) {
+      for (Errand errand : waiting.remove()) {
+        remove(errand);
+        back.ended(errand, Outcome.NOT_SENT);
+      }
+    }
+    closeIfSpent();
+  }
+
   void carry(List<Errand> call) {
     for (Errand errand : call) {
       errand.link = this;
--- a/mixer/src/main/java/gingerring/discovery/Watch.java
+++ b/mixer/src/main/java/gingerring/discovery/Watch.java
@@ -25,6 +25,9 @@
 
     /** The watch has ended, or a call failed; the list held stays. */
     void failed();
+
+    /** There was word from discovery, be it that nothing is new; told after the list that it brought. */
+    default void word() {}
   }
 
   private static final Logger LOG = LoggerFactory.getLogger("gingerring.discovery");
@@ -36,6 +39,10 @@
   private static final Duration SILENCE = Duration.ofMillis(2500);
   private static final Duration LINE = Duration.ofSeconds(1);
   private static final Duration LISTEN = Duration.ofMillis(250);
+  /**
+   * By so much an agent may be late, as the protocol has it: a list that is still older then is no late one.
+   */
+  private static final Duration LATE_MOST = Duration.ofSeconds(6);
   private static final Duration COMPLAINTS_APART = Duration.ofSeconds(10);
 
   private final Network network;
@@ -48,6 +55,8 @@
   /** The watch at the last address, until there is word from the present one. */
   private Call former;
   private Duration complained;
+  /** Since when whole lists have been older than the one held; null where the last one was not. */
+  private Duration olderSince;
 
   public Watch(Network network, InetSocketAddress address, long revision, Told told, Counts counts,
       TurnClock clock) {
@@ -83,6 +92,7 @@
       watch = null;
       address = to;
       revision = 0;
+      olderSince = null;
       open();
     }
   }
@@ -119,9 +129,14 @@
     private final String host;
     private final Connection connection;
     private long seen = revision;
-    private Duration heard = clock.now();
+    private final Duration begun = clock.now();
+    private Duration heard = begun;
     private long lines;
     private boolean ended;
+    /** Within the line at hand: how many objects and lists are open, and whether a text or an escape is. */
+    private int depth;
+    private boolean quoted;
+    private boolean escaped;
 
     Call(boolean streams) {
       this.streams = streams;
@@ -171,9 +186,10 @@
 
     @Override public void body(byte[] bytes, int length) throws Malformed {
       for (int i = 0; i < length && !ended; i++) {
-        if (streams && bytes[i] == '\n') {
+        if (streams && bytes[i] == '\n' && (depth == 0 || quoted)) {
           line();
         } else {
+          nest(bytes[i]);
           text.write(bytes[i]);
         }
       }
@@ -182,9 +198,28 @@
       }
     }
 
+    /** An indented list goes over many lines: it is at its end once all that it opened is closed. */
+    private void nest(byte b) {
+      if (escaped) {
+        escaped = false;
+      } else if (quoted) {
+        escaped = b == '\\';
+        quoted = b != '"';
+      } else if (b == '"') {
+        quoted = true;
+      } else if (b == '{' || b == '[') {
+        depth++;
+      } else if (b == '}' || b == ']') {
+        depth = Math.max(0, depth - 1);
+      }
+    }
+
     private void line() throws Malformed {
       byte[] line = text.toByteArray();
       text.reset();
+      depth = 0;
+      quoted = false;
+      escaped = false;
       lines++;
       if (this != former) {
         endFormer(); // even an empty line is word from the new address
@@ -196,21 +231,55 @@
           throw new Malformed(400, "a list could not be used: " + e.getMessage());
         }
       }
+      if (this != former) {
+        told.word();
+      }
     }
 
     private void take(byte[] text) throws Json.Malformed {
       Members members = Members.read(Json.read(text));
+      if (members.complete() && members.revision() < seen) {
+        if (this != former) {
+          older();
+        }
+        return;
+      }
       // a whole list replaces whatever was held; a change that was seen before says nothing new
       if (members.complete() || members.revision() > seen) {
         seen = members.revision();
         if (this != former) {
           revision = seen;
+          olderSince = null;
         }
         counts.add("lists told", 1);
         told.list(members);
       }
     }
 
+    /**
+     * A whole list that is older than what is held tells nothing: its agent is late, and its changes bring it
+     * up to date. Guards against sending again to searchers that are known to drain or to have gone. Where it
+     * is still older after the longest that discovery may be late, versions are counted anew, and the whole
+     * list is asked for.
+     */
+    private void older() {
+      counts.add("lists older than the one held", 1);
+      if (olderSince == null) {
+        Duration since = clock.now();
+        olderSince = since;
+        clock.wakeAfter(LATE_MOST, () -> {
+          if (since.equals(olderSince)) {
+            olderSince = null;
+            revision = 0;
+            if (watch != null) {
+              watch.end("its versions are counted anew");
+              open();
+            }
+          }
+        });
+      }
+    }
+
     @Override public void end() throws Malformed {
       if (!streams) {
         line();
@@ -224,10 +293,19 @@
       fail("the connection ended");
     }
 
+    /**
+     * A watch that lasted is opened anew at once: what the agent has meanwhile counts as told. One that
+     * failed as it began is opened again when the mixer asks for it, so that a broken agent is not called
+     * without a pause.
+     */
     private void fail(String why) {
       if (!ended) {
         boolean wanted = this != former;
+        boolean lasted = this == watch && clock.now().minus(begun).compareTo(LINE) >= 0;
         end(why);
+        if (lasted) {
+          open();
+        }
         if (wanted) {
           told.failed();
         }
--- a/mixer/src/main/java/gingerring/serve/Desk.java
+++ b/mixer/src/main/java/gingerring/serve/Desk.java
@@ -94,6 +94,9 @@
   /** What others tell; null where this mixer knows of none. */
   private Neighbours neighbours;
   private boolean ready;
+  /** Discovery has said something since the start, or could not be asked; and scans that came before. */
+  private boolean heard;
+  private final List<Runnable> early = new ArrayList<>();
   /** Once the end is announced: by when all must be answered. */
   private Duration endBy;
   private boolean lastCall;
@@ -115,22 +118,29 @@
     neighbours = others;
   }
 
-  /** The mixer starts, and is told the list as it was known in the same turn. */
+  /**
+   * The mixer starts, and is told the list as it was known in the same turn. That list may be old, so that a
+   * mixer that is told changes is ready once discovery has had its word. Guards against sending to searchers
+   * that left while this process was down: from its first moment on, what discovery's agent has counts as
+   * told.
+   */
   void start(Back back, Watch watch, long seed, Members known) {
     this.back = back;
     this.watch = watch;
     mixer = new Mixer(terms.map(), new SplittableRandom(seed), this);
     list(known);
-    if (terms.text("Discovery").equals("automatic")) {
+    String way = terms.text("Discovery");
+    if (way.equals("automatic")) {
       watch.open();
     }
+    heard = !way.equals("automatic") && !way.equals("subscribe");
     ready = true;
   }
 
   // ---- what happens ----
 
   @Override public boolean ready() {
-    return ready && endBy == null;
+    return ready && heard && endBy == null;
   }
 
   @Override public boolean ending() {
@@ -164,11 +174,16 @@
     counts.add("scans taken", 1);
     // whatever becomes of it in the mixer, it is answered by the end of its client's patience
     loop.wakeAfter(scan.end.minus(now()), () -> loop.tell(() -> overdue(scan)));
-    loop.tell(() -> {
+    Runnable arrival = () -> {
       if (!scan.answered) {
         arrive(scan, parts);
       }
-    });
+    };
+    if (heard) {
+      loop.tellLast(arrival);
+    } else {
+      early.add(arrival);
+    }
     return true;
   }
 
@@ -249,6 +264,7 @@
 
   @Override public void list(Members members) {
     List<Listing> lines = new ArrayList<>();
+    List<SearcherId> leaving = new ArrayList<>();
     for (Members.Member member : members.members()) {
       SearcherId id = searchers.computeIfAbsent(member.id(), this::newId);
       Listing last = listed.get(id);
@@ -270,11 +286,16 @@
     if (members.complete()) {
       Set<SearcherId> told = new HashSet<>();
       lines.forEach(line -> told.add(line.searcher()));
-      listed.keySet().stream().filter(id -> !told.contains(id)).toList().forEach(this::forget);
+      leaving.addAll(listed.keySet().stream().filter(id -> !told.contains(id)).toList());
+      leaving.forEach(this::forget);
     }
     lines.stream().filter(line -> line.standing() == Listing.Standing.GONE).map(Listing::searcher)
         .forEach(this::forget);
     loop.tell(() -> mixer.rosterTold(lines, members.complete()));
+    // told after the list, so that what has not left yet goes elsewhere by it
+    leaving.addAll(lines.stream().filter(line -> line.standing() != Listing.Standing.READY)
+        .map(Listing::searcher).toList());
+    leaving.forEach(back::withhold);
     if (neighbours != null) {
       neighbours.listed(listed.values());
     }
@@ -306,6 +327,13 @@
 
   @Override public void failed() {
     loop.tell(() -> mixer.rosterFailed());
+    word();
+  }
+
+  @Override public void word() {
+    heard = true;
+    early.forEach(loop::tellLast);
+    early.clear();
   }
 
   /** The end is announced: no longer ready, and no answer later than {@code by}. */
--- a/mixer/src/main/java/gingerring/serve/Loop.java
+++ b/mixer/src/main/java/gingerring/serve/Loop.java
@@ -42,6 +42,7 @@
   private volatile Thread sleeper;
   private final PriorityQueue<Wake> wakes = new PriorityQueue<>();
   private List<Runnable> tellings = new ArrayList<>();
+  private List<Runnable> lastTellings = new ArrayList<>();
   private Duration now = Duration.ZERO;
   private long wakeCount;
   private int failures;
@@ -75,6 +76,12 @@
     tellings.add(telling);
   }
 
+  /** The same, after all else of the turn: what is new is decided by all that is known. */
+  void tellLast(Runnable telling) {
+    counts.must(owner == null || owner == Thread.currentThread(), "the mixer is told on the loop's thread");
+    lastTellings.add(telling);
+  }
+
   void stop() {
     running = false;
   }
@@ -93,6 +100,8 @@
       }
       List<Runnable> turn = tellings;
       tellings = new ArrayList<>();
+      turn.addAll(lastTellings);
+      lastTellings.clear();
       turn.forEach(telling -> guard("the mixer", telling));
       guard("making calls", calls);
       guard("flushing", flush);
@@ -104,7 +113,7 @@
   }
 
   private void await(List<Runnable> ready) {
-    long nanos = !tellings.isEmpty() ? 0
+    long nanos = !tellings.isEmpty() || !lastTellings.isEmpty() ? 0
         : wakes.isEmpty() ? TimeUnit.SECONDS.toNanos(1) : wakes.peek().at.minus(clock()).toNanos();
     if (nanos > 0) {
       sleeper = owner;
--- a/mixer/src/main/java/gingerring/serve/Serve.java
+++ b/mixer/src/main/java/gingerring/serve/Serve.java
@@ -62,7 +62,8 @@
   }
 
   /**
-   * The same, with all that its connections carry told to a tap, and among other mixers; null for none of either.
+   * The same, with all that its connections carry told to a tap, and among other mixers; null for none of
+   * either.
    */
   public static int run(Map<String, String> env, PrintStream complaints, Tap tap, Neighbours neighbours) {
     Serve serve = new Serve(env, tap, neighbours);
@@ -185,23 +186,23 @@
     loop.wakeAfter(STILL_COMING, network::stopListening);
     loop.wakeAfter(endBy.minus(LAST_CALL).minus(loop.now()), () -> {
       desk.lastCall();
-      loop.wakeAfter(LAST_CALL.minus(CLOSING), () -> {
-        front.end();
-        watchEnd();
-      });
+      loop.wakeAfter(LAST_CALL.minus(CLOSING), this::watchEnd);
     });
   }
 
+  /**
+   * Clients send on for as long as their connections stay open: each is closed as it becomes idle, and the
+   * process ends once none is left, or at its time. Guards against a request that is read after the last look
+   * at what is open, and goes unanswered.
+   */
   private void watchEnd() {
     boolean late = loop.now().compareTo(endBy) >= 0;
     if (late) {
       desk.scrapAll();
     }
-    if (late || desk.open() == 0) {
-      loop.wakeAfter(FLUSH, loop::stop);
-    } else {
-      loop.wakeAfter(FLUSH, this::watchEnd);
-    }
+    front.end();
+    boolean over = late || desk.open() == 0 && front.clients() == 0;
+    loop.wakeAfter(FLUSH, over ? loop::stop : this::watchEnd);
   }
 
   /** What neighbours are lent of this process. */
--- a/mixer/src/test/java/gingerring/serve/DeskTest.java
+++ b/mixer/src/test/java/gingerring/serve/DeskTest.java
@@ -1,6 +1,7 @@
 package gingerring.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gingerring.back.Back;
@@ -14,7 +15,11 @@
 import gingerring.net.Counts;
 import gingerring.net.Network;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -88,6 +93,124 @@
     assertEquals(0, network.connections());
   }
 
+  /** A listener that lets no connection come up: its queue is full, so that those who dial it wait. */
+  private static final class Deaf implements AutoCloseable {
+    private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    private final List<Socket> queue = new ArrayList<>();
+
+    Deaf() throws IOException {
+      for (int i = 0; i < 8; i++) {
+        Socket socket = new Socket();
+        queue.add(socket);
+        try {
+          socket.connect(address(), 200);
+        } catch (SocketTimeoutException e) {
+          return;
+        }
+      }
+      throw new IOException("the queue of a listener is never full");
+    }
+
+    InetSocketAddress address() {
+      return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    @Override public void close() throws IOException {
+      for (Socket socket : queue) {
+        socket.close();
+      }
+      listener.close();
+    }
+  }
+
+  /**
+   * A desk on real sockets, before discovery's first word and with one searcher known; all at deaf addresses.
+   */
+  private static final class Bare {
+    final Counts counts = new Counts();
+    final Loop loop = new Loop(counts);
+    final Network network = new Network(loop, counts, false);
+    final Desk desk;
+    final Back back;
+    final InetSocketAddress place;
+
+    Bare(InetSocketAddress place) throws IOException, Json.Malformed {
+      this.place = place;
+      desk = new Desk(loop, terms(), counts, 0);
+      back = new Back(network, desk, terms(), counts, loop);
+      desk.start(back, new Watch(network, place, 0, desk, counts, loop), 1, list(true, Standing.READY));
+    }
+
+    Members list(boolean all, Standing standing) {
+      return new Members(1, all, List.of(new Members.Member("s-0", place, "a", "toy", 0, standing, 1, 0)));
+    }
+
+    void run(Runnable event, Duration span) {
+      loop.post(() -> {
+        event.run();
+        loop.wakeAfter(span, loop::stop);
+      });
+      loop.run(back::dispatch, network::flush);
+      network.dispose();
+    }
+  }
+
+  /** Guards against a new process that sends by its old list to searchers that left while it was down. */
+  @Test void goesByDiscoverysWordFromItsFirstMomentOn() throws IOException, Json.Malformed {
+    try (Deaf deaf = new Deaf()) {
+      Bare bare = new Bare(deaf.address());
+      List<String> answers = new ArrayList<>();
+      bare.run(() -> {
+        assertFalse(bare.desk.ready());
+        assertTrue(bare.desk.take(ask("early", 0), bare.loop.now(), new Notes("early", answers)));
+        bare.loop.post(() -> bare.loop.post(() -> { // two turns later
+          assertEquals(List.of(), answers);
+          bare.desk.list(bare.list(true, Standing.DRAINING));
+          bare.desk.word();
+          assertTrue(bare.desk.ready());
+        }));
+      }, Duration.ofMillis(300));
+      assertEquals(List.of("early nacked"), answers);
+      assertEquals(0, bare.counts.get("links dialled"));
+      assertEquals(0, bare.counts.get("failures in an event"));
+    }
+  }
+
+  /** Guards against a scan that is sent by the list before the one that came with it. */
+  @Test void decidesOnNewScansLastInATurn() throws IOException, Json.Malformed {
+    try (Deaf deaf = new Deaf()) {
+      Bare bare = new Bare(deaf.address());
+      List<String> answers = new ArrayList<>();
+      bare.run(() -> {
+        bare.desk.word();
+        bare.desk.take(ask("a", 0), bare.loop.now(), new Notes("scan", answers));
+        bare.desk.list(bare.list(false, Standing.DRAINING));
+      }, Duration.ofMillis(300));
+      assertEquals(List.of("scan nacked"), answers);
+      assertEquals(0, bare.counts.get("links dialled"));
+    }
+  }
+
+  /**
+   * Guards against parts that leave for a searcher that drains once their connection comes up, a dial later.
+   */
+  @Test void withholdsWhatWaitsForAConnectionToWhomDrainsOrHasGone() throws IOException, Json.Malformed {
+    for (Standing standing : List.of(Standing.DRAINING, Standing.GONE)) {
+      try (Deaf deaf = new Deaf()) {
+        Bare bare = new Bare(deaf.address());
+        List<String> answers = new ArrayList<>();
+        bare.run(() -> {
+          bare.desk.word();
+          bare.desk.take(ask("a", 0), bare.loop.now(), new Notes("scan", answers));
+          bare.loop.post(() -> bare.loop.post(() -> bare.desk.list(bare.list(false, standing))));
+        }, Duration.ofMillis(300));
+        assertEquals(List.of("scan nacked"), answers);
+        assertEquals(1, bare.counts.get("links dialled"));
+        assertEquals(1, bare.counts.get("trips NOT_SENT"));
+      }
+    }
+  }
+
   /** Guards against a failure of the decisions on one scan: it alone is scrapped, and that is counted. */
   @Test void aFailureOfTheMixerScrapsTheScanAtHandAndNoOther() throws IOException, Json.Malformed {
     Terms terms = terms();
--- a/mixer/src/test/java/gingerring/serve/ServeTest.java
+++ b/mixer/src/test/java/gingerring/serve/ServeTest.java
@@ -98,7 +98,7 @@
   private void up(String config) throws Exception {
     mixer = mixer(config);
     port = port(mixer);
-    assertEquals(200, send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status);
+    ready();
     for (int i = 0; i < 100; i++) {
       if (scan("search", "", PARTS).status == 200) {
         return;
@@ -108,6 +108,16 @@
     throw new AssertionError("no scan was answered");
   }
 
+  /** Waits until the mixer says that it is ready, which it is after discovery's first word. */
+  private void ready() throws Exception {
+    int status = 0;
+    for (int i = 0; i < 200 && status != 200; i++) {
+      status = send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status;
+      Thread.sleep(status == 200 ? 0 : 50);
+    }
+    assertEquals(200, status);
+  }
+
   private static int port(Child mixer) throws InterruptedException {
     String line = mixer.line("listens at");
     return Integer.parseInt(line.replaceAll(".*listens at /[0-9.]+:([0-9]+),.*", "$1"));
@@ -392,6 +402,27 @@
     answers(shard, "value-0-from-1");
   }
 
+  /**
+   * Guards against a watch that takes one line for the whole of a list, and misses every list that is
+   * indented.
+   */
+  @Test void takesAListThatIsIndented() throws Exception {
+    up(config());
+    for (String line : List.of("{", "  \"revision\": 9,", "  \"complete\": false,", "  \"members\": [",
+        "    {", "      \"id\": \"x}]\\\"{\",", "      \"phase\": \"DELETED\"", "    },", "    {",
+        "      \"id\": \"s-0\",",
+        "      \"phase\": \"DELETED\"", "    }", "  ]", "}")) {
+      toy.in.println("say " + line);
+    }
+    int inARow = 0; // of two holders each would be asked for half of them
+    for (int i = 0; i < 100 && inARow < 16; i++) {
+      Thread.sleep(20);
+      String body = scan("search", "", "{\"partition\":0,\"share\":1}").body;
+      inARow = body.contains("value-0-from-1") ? inARow + 1 : 0;
+    }
+    assertEquals(16, inARow);
+  }
+
   /** Guards against a watch that stays open and silent while searchers are replaced. */
   @Test void opensTheWatchAnewWhereItFallsSilent() throws Exception {
     up(config());
@@ -428,7 +459,7 @@
     mixer = mixer(config(), "/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
     mixer.line("SIGHUP is ignored");
     port = port(mixer);
-    assertEquals(200, send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status);
+    ready();
   }
 
   /** Guards against a SIGHUP that ends the process, and against one that costs the list or a scan. */
@@ -486,6 +517,33 @@
     assertEquals(0, mixer.process.exitValue());
   }
 
+  /** Guards against an end that comes while a request is read that nobody looks for any more. */
+  @Test void answersWhatItReadsWhileItEnds() throws Exception {
+    up(config());
+    String request = request("search", "0:silent", PARTS);
+    int sent = marks;
+    try (Socket half = connect(); Socket idle = connect()) {
+      idle.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
+      assertEquals(200, answer(idle).status);
+      assertEquals(0, new ProcessBuilder("kill", "-TERM", "" + mixer.process.pid()).start().waitFor());
+      mixer.line("ending");
+      Thread.sleep(1200); // a request may take two seconds to come, and this one is to come as the end does
+      half.getOutputStream().write(request.substring(0, 50).getBytes());
+      assertEquals(-1, idle.getInputStream().read());
+      int answered = sent - 1;
+      try {
+        half.getOutputStream().write(request.substring(50).getBytes());
+        answer(half);
+        answered++;
+      } catch (IOException e) {
+        // then it must not have been read
+      }
+      String taken = mixer.line("ended; counts").replaceAll(".*scans taken ([0-9]+).*", "$1");
+      assertEquals(String.valueOf(answered), taken);
+    }
+    assertTrue(mixer.process.waitFor(4, TimeUnit.SECONDS));
+  }
+
   @Test void namesWhatKeepsItFromStarting() throws Exception {
     String config = config();
     try (ServerSocket taken = new ServerSocket(0)) {
