Wake the connector's thread once for all the dials of a turn

A first scan of 30 parts dials 30 searchers one by one. Its task is now held until the turn's last dial, in Network.flush.

--- a/mixer/src/main/java/gingerring/net/Network.java
+++ b/mixer/src/main/java/gingerring/net/Network.java
@@ -7,7 +7,9 @@
 import java.nio.channels.SocketChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -49,6 +51,8 @@
     return thread;
   });
   private final Processor processor = new Processor(threads);
+  /** Tasks of MINA's connector, until the turn that dials is over. */
+  private final Queue<Runnable> dialling = new ConcurrentLinkedQueue<>();
   private final IoConnector connector;
   private final boolean within;
   private IoAcceptor acceptor;
@@ -71,7 +75,9 @@
     if (within) {
       connector = new VmPipeConnector(threads);
     } else {
-      NioSocketConnector sockets = new NioSocketConnector(threads, processor);
+      // its thread ends when no dial is under way; started after the last dial of a turn and not with the first,
+      // it is woken once for all of them
+      NioSocketConnector sockets = new NioSocketConnector(dialling::add, processor);
       prepare(sockets.getSessionConfig());
       connector = sockets;
     }
@@ -151,6 +157,7 @@
   /** Ends all there is of it. */
   public void dispose() {
     connector.dispose();
+    finishDials();
     if (acceptor != null) {
       acceptor.dispose();
     }
@@ -176,8 +183,15 @@
     processor.wakeup();
   }
 
-  /** One flush for each connection that something was put into. */
+  private void finishDials() {
+    for (Runnable task = dialling.poll(); task != null; task = dialling.poll()) {
+      threads.execute(task);
+    }
+  }
+
+  /** One flush for each connection that something was put into; and what was dialled goes on. */
   public void flush() {
+    finishDials();
     List<Connection> now = List.copyOf(dirty);
     dirty.clear();
     now.forEach(Connection::flush);
