--- a/mixer/src/test/java/gingerring/serve/ServeTest.java
+++ b/mixer/src/test/java/gingerring/serve/ServeTest.java
@@ -423,6 +423,36 @@
     assertEquals(16, inARow);
   }
 
+  /** Guards against a mixer that holds on to searchers that are not listed any more, or takes none back. */
+  @Test void followsAListThatEmptiesAndFillsAgainUnderTheSameNames() throws Exception {
+    up(config());
+    String shard = "{\"partition\":0,\"share\":1}";
+    for (int round = 0; round < 3; round++) {
+      for (int i = 0; i < 4; i++) {
+        toy.in.println("gone " + i);
+      }
+      int status = 0;
+      for (int i = 0; i < 100 && status != 503; i++) {
+        Thread.sleep(50);
+        status = scan("search", "", shard).status;
+      }
+      assertEquals(503, status);
+      for (int i = 0; i < 8; i++) {
+        assertEquals(503, scan("search", "", PARTS).status);
+      }
+      for (int i = 0; i < 4; i++) {
+        toy.in.println("serve " + i);
+      }
+      answers(shard, "value-0-from-0");
+      answers(shard, "value-0-from-1");
+    }
+    toy.in.println("say {\"revision\":999,\"complete\":true,\"members\":[]}");
+    for (int i = 0; i < 100 && scan("search", "", PARTS).status != 503; i++) {
+      Thread.sleep(50);
+    }
+    assertEquals(503, scan("search", "", PARTS).status);
+  }
+
   /** Guards against a watch that stays open and silent while searchers are replaced. */
   @Test void opensTheWatchAnewWhereItFallsSilent() throws Exception {
     up(config());
