Answer first steps in time for the second, and copy late parts by what they stayed

What the mixers read as silence was one grade's: the same boxes answered the others.

It guards against any single trip that does not come back; it may feed a jam, which the gate on stays and the budget bound.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -73,9 +73,8 @@
   private static final double EXTRA_SHARE = 0.1;
   /** Long enough that a scan's first trips still count when its late parts are copied. */
   private static final Duration EXTRA_WINDOW = Duration.ofSeconds(6);
-  /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
-  private static final double LATE_STAYS = 4;
-  private static final double COPY_STAYS = 4;
+  /** A part out for so many usual stays is late: few that come by themselves are. */
+  private static final double LATE_STAYS = 3;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
@@ -158,6 +157,7 @@
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
     scan.quoted = min(now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch)),
         end.minus(CLOSE_MARGIN));
+    scan.due = due(scan, now);
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived, now);
@@ -195,7 +195,7 @@
       return;
     }
     // it ends when its trips have, near its quoted time if it can be partial, or with its patience
-    wakeAt(scan.quoted.minus(ANSWER_MARGIN), () -> settle(scan));
+    wakeAt(scan.due.minus(ANSWER_MARGIN), () -> settle(scan));
     wakeAt(scan.quoted, () -> quotedPassed(scan));
     wakeAt(scan.end.minus(CLOSE_MARGIN), () -> patienceEnds(scan));
   }
@@ -207,10 +207,12 @@
     if (scan == null) {
       return;
     }
+    scan.due = scan.quoted;
     hold(scan, arrived, now);
     for (Part part : arrived) {
       firsts.add(now, 1);
-      if (plan(part, now)) {
+      // the first step's work is done and lost without it: a holder that may be late is better than none
+      if (plan(part, now) || plan(part, now, each -> true, Duration.ofNanos(Long.MAX_VALUE))) {
         send(part, now);
       }
       unplan(part);
@@ -218,6 +220,20 @@
     settle(scan);
   }
 
+  /**
+   * By when the first step is to be answered. Where a second one follows, that is early enough for its parts
+   * to be late by what parts stayed of late, and half of the time at the earliest. Guards against a first step
+   * that waits for its last part until no time is left for the second, and all its work is lost.
+   */
+  private Duration due(Scan scan, Duration now) {
+    if (scan.grade.fetch == 0) {
+      return scan.quoted;
+    }
+    double half = Math.max(0, scan.quoted.minus(now).toNanos() / 2.0);
+    double stay = usualStay(now);
+    return scan.quoted.minusNanos((long) (stay == 0 ? half : Math.min(half, LATE_STAYS * stay)));
+  }
+
   private void hold(Scan scan, List<Part> arrived, Duration now) {
     scans.put(scan.id, scan);
     scansByNumber.put(scan.number, scan);
@@ -272,12 +288,17 @@
   }
 
   private boolean plan(Part part, Duration now, Predicate<Searcher> choice) {
+    Duration by = now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end;
+    return plan(part, now, choice, by.minus(now));
+  }
+
+  private boolean plan(Part part, Duration now, Predicate<Searcher> choice, Duration left) {
     List<Searcher> holders = roster.holders(part.shard);
     int home = home(part, Math.max(1, holders.size()));
-    Duration left = (now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end).minus(now);
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
-      boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
+      boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher)
+          || part.scan.failedAt(part.shard, searcher);
       if (!tried && choice.test(searcher) && coldRoom(searcher, now)
           && inTime(searcher, left, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
@@ -510,9 +531,10 @@
         && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
-  /** Further trips feed a jam: their number follows that of first trips. */
+  /** Further trips feed a jam: their number follows that of first trips, unless the rules set a budget. */
   private boolean withinRation(Duration now) {
-    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
+    return terms.has("Safety.ResendSpanMs")
+        || extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
@@ -534,7 +556,7 @@
       possible += part.in || partOut ? part.weight : 0;
     }
     boolean all = in >= need - WEIGHT_SLACK;
-    boolean near = now.compareTo(scan.quoted.minus(ANSWER_MARGIN)) >= 0;
+    boolean near = now.compareTo(scan.due.minus(ANSWER_MARGIN)) >= 0;
     if (all || in >= least - WEIGHT_SLACK && (!out || near)) {
       if (!all) {
         timeOut(scan, now);
@@ -774,20 +796,22 @@
   }
 
   /**
-   * A part out for far longer than answered parts stayed gets a copy elsewhere, as late as a copy can well be
-   * in time: most late parts still come by themselves. Guards against whatever keeps a single answer away,
-   * when a mixer sends each searcher too little to judge it: lost answers, hung, silent, slow or pausing
-   * searchers, cut ways. It may feed a jam, hence the ration.
+   * A part out for far longer than parts usually stay gets a copy elsewhere while that can well be in time, or
+   * can still earn; one of a second step by half of its time, as a whole scan hangs on it. Guards against
+   * whatever keeps a single answer away, when a mixer sends each searcher too little to judge it: lost
+   * answers, hung, silent, slow or pausing searchers, such as fail one grade alone, cut ways. It may feed a
+   * jam, hence the ration.
    */
   private void copyLate(Searcher searcher, Duration now) {
     double stay = usualStay(now);
-    for (Trip trip : searcher.out) {
-      if (now.minus(trip.sent).toNanos() <= LATE_STAYS * stay) {
-        return;
-      }
+    for (Trip trip : List.copyOf(searcher.out)) {
       Part part = trip.part;
-      double left = part.scan.quoted.minus(now).toNanos();
-      if (part.trips.get(part.trips.size() - 1) == trip && left > 0 && left <= COPY_STAYS * stay) {
+      Scan scan = part.scan;
+      double half = scan.due.minus(trip.sent).toNanos() / 2.0;
+      double late = stay == 0 ? half : Math.min(scan.secondStep ? half : Long.MAX_VALUE, LATE_STAYS * stay);
+      Duration by = now.compareTo(scan.due) < 0 || scan.grade.lateShare == 0 ? scan.due : scan.end;
+      if (part.trips.get(part.trips.size() - 1) == trip && now.minus(trip.sent).toNanos() > late
+          && by.minus(now).toNanos() > stay) {
         sendAgain(part, now);
       }
     }
--- a/mixer/src/main/java/gingerring/decide/Scan.java
+++ b/mixer/src/main/java/gingerring/decide/Scan.java
@@ -16,6 +16,8 @@
   public final List<Part> parts = new ArrayList<>();
   /** By when its client is to have its answer. */
   public Duration quoted;
+  /** By when the step in hand is to be answered. */
+  public Duration due;
   /** The first step has been answered from, and its parts are {@code firstParts}. */
   public boolean secondStep;
   public int firstParts;
@@ -36,6 +38,21 @@
     return secondStep ? parts.subList(firstParts, parts.size()) : parts;
   }
 
+  /** Whether the first step had no answer for a shard from a searcher that it was sent to. */
+  public boolean failedAt(int shard, Searcher searcher) {
+    for (int i = 0; secondStep && i < firstParts; i++) {
+      Part part = parts.get(i);
+      if (part.shard == shard) {
+        for (Trip trip : part.trips) {
+          if (trip.searcher == searcher && trip.outcome != Outcome.SUCCEEDED) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
   public void beginSecondStep(boolean whole) {
     secondStep = true;
     firstParts = parts.size();
--- a/mixer/src/test/java/gingerring/decide/Stage.java
+++ b/mixer/src/test/java/gingerring/decide/Stage.java
@@ -79,6 +79,12 @@
     mixer.scanArrived(new ScanId(id), id, 0, 0, false, Duration.ZERO, now.plus(ms(4000)), parts);
   }
 
+  /** The second step of a scan has come, with parts of equal weight at these shards, numbered from 50 on. */
+  void secondStep(int id, int... shards) {
+    mixer.secondStepArrived(id, IntStream.range(0, shards.length).mapToObj(
+        i -> new Part(new PartId(100L * id + 50 + i), shards[i], 1.0 / shards.length, 0)).toList());
+  }
+
   void end(int number, Outcome outcome) {
     Sent trip = sent.get(number);
     mixer.tripEnded(trip.part, trip.number, outcome, false, new float[0]);
