Send nothing more for an answered first step; copy and place two-step scans by their time

Parts of an answered step are over. A second step is placed by the patience's end. A two-step scan's parts are late by half of their step's time at the latest.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -288,7 +288,7 @@
   }
 
   private boolean plan(Part part, Duration now, Predicate<Searcher> choice) {
-    Duration by = now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end;
+    Duration by = now.compareTo(part.scan.quoted) < 0 && !part.scan.secondStep ? part.scan.quoted : part.scan.end;
     return plan(part, now, choice, by.minus(now));
   }
 
@@ -808,7 +808,7 @@
       Part part = trip.part;
       Scan scan = part.scan;
       double half = scan.due.minus(trip.sent).toNanos() / 2.0;
-      double late = stay == 0 ? half : Math.min(scan.secondStep ? half : Long.MAX_VALUE, LATE_STAYS * stay);
+      double late = stay == 0 ? half : Math.min(scan.grade.fetch > 0 ? half : Long.MAX_VALUE, LATE_STAYS * stay);
       Duration by = now.compareTo(scan.due) < 0 || scan.grade.lateShare == 0 ? scan.due : scan.end;
       if (part.trips.get(part.trips.size() - 1) == trip && now.minus(trip.sent).toNanos() > late
           && by.minus(now).toNanos() > stay) {
--- a/mixer/src/main/java/gingerring/decide/Part.java
+++ b/mixer/src/main/java/gingerring/decide/Part.java
@@ -13,7 +13,7 @@
   public Scan scan;
   public final List<Trip> trips = new ArrayList<>();
   public boolean in;
-  /** The end of the host's patience with this part was told: nothing may be sent for it. */
+  /** Its step has been answered, or the host told the end of its patience: nothing may be sent for it. */
   public boolean over;
   public Searcher planned;
   /** How many trusted searchers hold its shard. */
--- a/mixer/src/main/java/gingerring/decide/Scan.java
+++ b/mixer/src/main/java/gingerring/decide/Scan.java
@@ -56,6 +56,7 @@
   public void beginSecondStep(boolean whole) {
     secondStep = true;
     firstParts = parts.size();
+    parts.forEach(part -> part.over = true);
     wholeSoFar = whole;
   }
 }
