Let a ring's sums hold the sum over its span between them to the nanosecond

A span that its buckets do not divide, such as a budget's 2 s by 12, was counted up to 11 ns short. The test plays random spans of a few nanoseconds, where the old sums are wrong at once.

--- a/mixer/src/main/java/gingerring/decide/TimeRing.java
+++ b/mixer/src/main/java/gingerring/decide/TimeRing.java
@@ -8,13 +8,15 @@
  * numbers, so that the running total stays exact.
  */
 public final class TimeRing {
+  private final long span;
   private final long width;
   private final double[] sums;
   private double total;
   private long newest = Long.MIN_VALUE;
 
   public TimeRing(Duration span, int buckets) {
-    width = Math.max(1, span.toNanos() / buckets);
+    this.span = span.toNanos();
+    width = Math.max(1, (this.span + buckets - 1) / buckets);
     sums = new double[buckets + 1];
   }
 
@@ -30,10 +32,10 @@
     return total;
   }
 
-  /** The sum over at most the ring's span: the bucket that the span begins in is left out. */
+  /** The sum over less than the ring's span: the bucket that the span begins in is left out. */
   public double sumWithin(Duration now) {
     turn(now);
-    return sum(now) - sums[(int) Math.floorMod(newest + 1, (long) sums.length)];
+    return sum(now, (int) (newest - Math.floorDiv(now.toNanos() - span, width)));
   }
 
   /** How many of the newest buckets hold at least so much; all of them where they hold less. */
--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 
@@ -388,4 +389,24 @@
     assertEquals(2, ring.sum(ms(1150)));
     assertEquals(0, ring.sum(ms(9000)));
   }
+
+  /** A budget counts what it has spent over no less than its span, and what it goes by over no more. */
+  @Test void aRingsTwoSumsHoldTheSumOverItsSpanBetweenThem() {
+    SplittableRandom random = new SplittableRandom(5);
+    for (int day = 0; day < 300; day++) {
+      int span = random.nextInt(1, 80);
+      TimeRing ring = new TimeRing(Duration.ofNanos(span), 12);
+      List<Long> added = new ArrayList<>();
+      long now = random.nextInt(99);
+      for (int i = 0; i < 60; i++, now += random.nextInt(12)) {
+        long at = now;
+        ring.add(Duration.ofNanos(at), 1);
+        added.add(at);
+        double within = ring.sumWithin(Duration.ofNanos(at));
+        assertTrue(within <= added.stream().filter(each -> each > at - span).count(), span + " at " + at);
+        double sum = ring.sum(Duration.ofNanos(at));
+        assertTrue(sum >= added.stream().filter(each -> each >= at - span).count(), span + " at " + at);
+      }
+    }
+  }
 }
