Let each mixer take its first turn at a cold searcher at a moment of chance

All mixers hear of a start together, and each could send its first part at once. Guards against any event that all mixers learn of at one moment; where every holder of a shard starts cold its scans are nacked somewhat longer.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -389,7 +389,12 @@
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
     double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
     Duration turn = allowed > 0 ? min(coldTurn, scale(tipAfter, 1 / allowed)) : coldTurn;
-    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(turn) > 0;
+    // the first turn at a moment of chance: all mixers hear of a start together
+    if (!searcher.startedAt.equals(searcher.turnsSince)) {
+      searcher.turnsSince = searcher.startedAt;
+      searcher.lastSent = searcher.startedAt.minus(scale(turn, chance.nextDouble()));
+    }
+    boolean itsTurn = now.minus(searcher.lastSent).compareTo(turn) > 0;
     return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
   }
 
--- a/mixer/src/main/java/gingerring/decide/Searcher.java
+++ b/mixer/src/main/java/gingerring/decide/Searcher.java
@@ -14,7 +14,10 @@
   public final Set<Trip> out = new LinkedHashSet<>();
   public int callsOut;
   public Trip.Call call;
+  /** When it was last sent a part, or from when its first turn counts while it is cold. */
   public Duration lastSent;
+  /** The start that its turns go by. */
+  public Duration turnsSince;
   public int plannedParts;
   public Duration busySince;
   /** Time with own parts out since the last word from it. */
