Count for the cold guard only answers of searchers whose time it counts

The guard takes what warm searchers answered, for the time of those trusted. Answers of searchers that drained, went or were benched while their parts were out counted without their time: where three of four drain for most of the time, one searcher passed for four, and a cold one got 19 parts at once instead of 4. Guards also against answers that come late from a benched searcher; it underrates a fleet that is mostly benched, which is safe.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -449,7 +449,7 @@
     switch (trip.outcome) {
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
-        warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
+        warmAnswers.add(now, trusted(searcher) && !cold(searcher, now) ? 1 : 0);
         searcher.unheard = Duration.ZERO;
         settle(trip, now, false);
         if (searcher.trialsLeft > 0) {
--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -350,6 +350,31 @@
     assertEquals(53, stage.sent.size());
   }
 
+  /** Else answers from searchers that drain, whose time does not count, would pass for the others' strength. */
+  @Test void aColdSearcherGetsWorkByWhatOneSearcherBoreThoughOthersComeAndGo() {
+    Stage stage = new Stage("Domain.Reach", "1").fleet(4);
+    for (int i = 0; i < 120; i++) {
+      stage.scan(1000 + i, 0.25, 0.25, 0.25, 0.25);
+      for (Listing.Standing now : List.of(Listing.Standing.DRAINING, Listing.Standing.READY)) {
+        for (int j = 1; j < 4; j++) {
+          stage.mixer.rosterTold(List.of(line(j, j, now, null)), false);
+        }
+        stage.pass(now == Listing.Standing.DRAINING ? 250 : 0);
+        for (int j = stage.sent.size() - 4; j < stage.sent.size(); j++) {
+          stage.end(j, Outcome.SUCCEEDED);
+        }
+      }
+    }
+    stage.mixer.rosterTold(List.of(line(0, 0, Listing.Standing.GONE, null),
+        line(5, 0, Listing.Standing.READY, stage.now)), false);
+    int first = stage.sent.size();
+    for (int i = 0; i < 30; i++) {
+      stage.scan(i, 1);
+      stage.end(stage.sent.size() - 1, Outcome.SUCCEEDED);
+    }
+    assertEquals(4, stage.sent.size() - first);
+  }
+
   @Test void aWholeFleetThatStartsColdGetsWorkByWhatItBoreBefore() {
     Stage stage = new Stage().fleet(4);
     warm(stage, 200);
