--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -458,4 +458,22 @@
     }
     assertTrue(first <= 8 && later >= 15, first + " at once, " + later + " in all");
   }
+
+  @Test void afterAFirstAnswerOnlyPartsOfTheSecondStepAreSentAndItIsWholeOnlyIfBothAre() {
+    for (int late = 0; late < 2; late++) {
+      Stage stage = new Stage("Domain.ClassFloor", "0.6", "Domain.NeedByClass", "1", "Domain.ClassFetch", "1",
+          "Classes.0.LateWorth", "0.3", "Domain.Reach", "3").fleet(4);
+      stage.scan(1, 0.7, 0.3);
+      stage.pass(late == 0 ? 100 : 1100);
+      stage.end(1, late == 0 ? Outcome.SUCCEEDED : Outcome.BROKEN); // a second trip where it broke
+      stage.end(0, Outcome.SUCCEEDED);
+      if (late == 1) {
+        stage.end(2, Outcome.CALLED_OFF);
+      }
+      stage.mixer.secondStepArrived(1, List.of(new Part(new PartId(150), 0, 1, 0)));
+      stage.end(stage.sent.size() - 1, Outcome.SUCCEEDED);
+      assertEquals(late == 0 ? "whole+whole" : "partial+partial", stage.finals.get(new ScanId(1)));
+      assertEquals(3 + late, stage.sent.size());
+    }
+  }
 }
--- a/mixer/src/test/java/gingerring/decide/RulesTest.java
+++ b/mixer/src/test/java/gingerring/decide/RulesTest.java
@@ -33,9 +33,13 @@
     final Map<ScanId, List<PartId>> secondStep = new HashMap<>();
     final Map<ScanId, Boolean> firstWhole = new HashMap<>();
     final boolean copies;
-    final boolean budget;
+    /** The second step may be answered in part. */
+    boolean partialFetch;
+    Duration window = ms(60);
+    /** Null where there is none; else its span, what is free, and the share of what was taken. */
+    final int[] budget;
 
-    Model(boolean copies, boolean budget, String... house) {
+    Model(boolean copies, int[] budget, String... house) {
       super(house);
       this.copies = copies;
       this.budget = budget;
@@ -64,9 +68,11 @@
       Asked scan = asked.get(scanOf.get(part));
       List<Trip> before = of(part);
       check(!finals.containsKey(scan.scan) && now.compareTo(scan.end) < 0, "lost: sent after the end");
+      check(!firstWhole.containsKey(scan.scan)
+          || secondStep.getOrDefault(scan.scan, List.of()).contains(part), "step over");
       List<Trip> ran = before.stream().filter(Model::mayHaveRun).toList();
       if (scan.grade == 1 && !ran.isEmpty()) {
-        check(now.minus(ran.get(0).at).compareTo(ms(60)) <= 0, "duplicate: outside the window");
+        check(now.minus(ran.get(0).at).compareTo(window) <= 0, "duplicate: outside the window");
       }
       check(scan.grade != 2 || ran.isEmpty(), "duplicate: at most once");
       long out = before.stream().filter(trip -> trip.outcome == null).count();
@@ -75,11 +81,11 @@
       Listing line = told.get(searcher);
       check(line.standing() == Listing.Standing.READY, "drain");
       cold(line, searcher);
-      if (budget && !before.isEmpty()) {
-        Duration from = now.minus(ms(3000));
+      if (budget != null && !before.isEmpty()) {
+        Duration from = now.minus(ms(budget[0]));
         long extra = 1 + trips.stream().filter(t -> t.number > 0 && t.at.compareTo(from) >= 0).count();
         long recent = taken.stream().filter(at -> at.compareTo(from) > 0).count();
-        check(extra <= 1 + 0.03 * recent, "budget");
+        check(extra <= budget[1] + budget[2] / 100.0 * recent, "budget");
       }
       trips.add(new Trip(part, before.size(), searcher, now, null));
       super.send(part, id, timeOut);
@@ -113,7 +119,7 @@
       boolean second = firstWhole.containsKey(scan);
       double in = (second ? secondStep : firstStep).get(scan).stream().filter(this::in)
           .mapToDouble(weights::get).sum();
-      boolean partial = of.grade == 3;
+      boolean partial = of.grade == 3 || of.grade == 4 && partialFetch;
       check(in >= (partial ? FLOOR : 1) - 1e-4, "answer under the floor");
       check(!whole || in >= 1 - 1e-4 && (!second || firstWhole.get(scan)), "marked whole");
       if (of.grade == 4 && !second) {
@@ -145,23 +151,29 @@
   private static Model day(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     boolean copies = random.nextBoolean();
-    boolean budget = random.nextBoolean();
+    boolean partialFetch = random.nextBoolean();
+    int[] budget = random.nextBoolean() ? null
+        : new int[] {random.nextInt(1000, 4000), random.nextInt(4), random.nextInt(2, 20)};
     List<String> house = new ArrayList<>(List.of("Classes.count", "5",
-        "Domain.ClassFloor", "1,1,1," + FLOOR + ",1", "Domain.NeedByClass", "1,1,1,1,1",
+        "Domain.ClassFloor", "1,1,1," + FLOOR + "," + (partialFetch ? FLOOR : 1),
+        "Domain.NeedByClass", "1,1,1,1,1",
         "Domain.ClassFetch", "0,0,0,0,2", "PolicyLimits.SecondCopies", "" + copies,
         "PolicyLimits.Cancel", "" + random.nextBoolean(), "PolicyLimits.Probing", "" + random.nextBoolean(),
         "Domain.Batch", "" + random.nextInt(1, 4)));
+    int window = random.nextInt(30, 600);
     String[] repeats = {"idempotent", "deduplicated", "at_most_once", "idempotent", "idempotent"};
     for (int i = 0; i < 5; i++) {
       house.addAll(List.of("Classes." + i + ".AimMs", "1000", "Classes." + i + ".HardLimitMs", "8000",
-          "Classes." + i + ".Idempotency", repeats[i], "Classes." + i + ".WindowMs", "60",
+          "Classes." + i + ".Idempotency", repeats[i], "Classes." + i + ".WindowMs", "" + window,
           "Classes." + i + ".LateWorth", random.nextBoolean() ? "0.3" : "0"));
     }
-    if (budget) {
-      house.addAll(List.of("Safety.ResendSpanMs", "3000", "Safety.ExtraFree", "1",
-          "Safety.ResendRatio", "0.03"));
+    if (budget != null) {
+      house.addAll(List.of("Safety.ResendSpanMs", "" + budget[0], "Safety.ExtraFree", "" + budget[1],
+          "Safety.ResendRatio", "" + budget[2] / 100.0));
     }
     Model day = new Model(copies, budget, house.toArray(String[]::new));
+    day.partialFetch = partialFetch;
+    day.window = ms(window);
     for (int i = 0; i < 6; i++) {
       Duration started = random.nextInt(4) == 0 ? ms(-500) : null;
       day.told.put(i, Stage.line(i, i % 4, Listing.Standing.READY, started));
@@ -169,6 +181,7 @@
     day.mixer.rosterTold(List.copyOf(day.told.values()), true);
     for (int step = 0; step < 250; step++) {
       act(day, random, step);
+      bringSecondSteps(day);
       day.pass(random.nextInt(8) == 0 ? random.nextInt(600) : random.nextInt(40));
     }
     day.pass(9000);
@@ -227,8 +240,12 @@
       day.trips.set(day.trips.indexOf(trip),
           new Model.Trip(trip.part, trip.number, trip.searcher, trip.at, outcome));
       day.mixer.tripEnded(trip.part, trip.number, outcome, false, new float[0]);
-      ScanId scan = day.scanOf.get(trip.part);
-      if (day.firstWhole.containsKey(scan) && !day.secondStep.containsKey(scan)) {
+    }
+  }
+
+  private static void bringSecondSteps(Model day) {
+    for (ScanId scan : day.firstWhole.keySet()) {
+      if (!day.finals.containsKey(scan) && !day.secondStep.containsKey(scan)) {
         List<Part> parts = new ArrayList<>();
         add(day, scan, parts, 100 * scan.number() + 50, 0, 0.5);
         add(day, scan, parts, 100 * scan.number() + 51, 1, 0.5);
@@ -262,7 +279,10 @@
     day = day(3);
     day.send(new PartId(100 * closed.number()), new SearcherId(0), ms(1));
     assertCaught(day, "sent after the end");
-    day = new Model(false, true, "Safety.ResendSpanMs", "3000");
+    day.firstWhole.put(closed, true);
+    day.send(new PartId(100 * closed.number()), new SearcherId(0), ms(1));
+    assertCaught(day, "step over");
+    day = new Model(false, new int[] {3000, 1, 3}, "Safety.ResendSpanMs", "3000");
     List<Part> parts = new ArrayList<>();
     ScanId scan = new ScanId(1);
     add(day, scan, parts, 100, 0, 1);
