Name settings that cannot be used before the mixer starts

Some are read only when first needed, such as ColdFrom and WarmUpMs at the first cold searcher or ResendRatio at the first further trip: a bad value failed scans then, instead of the start.

--- a/mixer/src/main/java/gingerring/serve/Orders.java
+++ b/mixer/src/main/java/gingerring/serve/Orders.java
@@ -45,9 +45,15 @@
     if (flat.isEmpty()) {
       throw new Unfit("settings is missing");
     }
+    Terms terms = new Terms(flat);
+    try {
+      Bounds.check(terms);
+    } catch (IllegalArgumentException e) {
+      throw new Unfit(e.getMessage());
+    }
     return new Orders(text(told, "name", env.get("LB_NAME")),
         address(told, "listen", env.get("LB_LISTEN")), address(told, "discovery", env.get("LB_DISCOVERY")),
-        seed(told), sockets(told), known(told), new Terms(flat));
+        seed(told), sockets(told), known(told), terms);
   }
 
   /** Whether what a running mixer cannot take over is the same; seed and known list are for a start alone. */
--- a/mixer/src/test/java/gingerring/serve/ServeTest.java
+++ b/mixer/src/test/java/gingerring/serve/ServeTest.java
@@ -495,6 +495,9 @@
           {config.replace("\"Places\"", "\"Other\""), "2", "setting Domain.Places is missing"},
           {config.replace("127.0.0.1:0", "localhost:1"), "2", "listen: no address"},
           {config.replace("[0, 0]", "[3, 0]"), "2", "setting Domain.ClassFetch"},
+          {config.replace("\"WarmUpMs\": 5000.0", "\"WarmUpMs\": -5000.0"), "2", "setting Safety.WarmUpMs"},
+          {config.replace("\"TipAfterMs\"", "\"ExtraFree\": 5, \"TipAfterMs\""), "2",
+              "setting Safety.ResendRatio is missing"},
           {config.replace("127.0.0.1:0", "127.0.0.1:" + taken.getLocalPort()), "1", "cannot listen"}};
       for (String[] each : unfit) {
         Child child = mixer(each[0]);
