--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -410,7 +410,12 @@
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
     double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
     Duration turn = allowed > 0 ? min(coldTurn, scale(tipAfter, 1 / allowed)) : coldTurn;
-    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(turn) > 0;
+    // the first turn at a moment of chance: all mixers hear of a start together
+    if (!searcher.startedAt.equals(searcher.turnsSince)) {
+      searcher.turnsSince = searcher.startedAt;
+      searcher.lastSent = searcher.startedAt.minus(scale(turn, chance.nextDouble()));
+    }
+    boolean itsTurn = now.minus(searcher.lastSent).compareTo(turn) > 0;
     return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
   }
 
@@ -465,7 +470,7 @@
     switch (trip.outcome) {
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
-        warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
+        warmAnswers.add(now, trusted(searcher) && !cold(searcher, now) ? 1 : 0);
         searcher.unheard = Duration.ZERO;
         settle(trip, now, false);
         if (searcher.trialsLeft > 0) {
@@ -521,7 +526,8 @@
       case NUMBERED -> since == null || now.minus(since).compareTo(scan.grade.window) < 0;
       case AT_MOST_ONCE -> since == null;
     };
-    boolean open = !scan.closed && !part.in && !part.over && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
+    boolean open = !scan.closed && !part.in && !part.over && scan.step().contains(part)
+        && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
     long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
     boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
     double allowed = terms.number("Safety.ExtraFree", 0)
