--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -526,7 +526,7 @@
       case NUMBERED -> since == null || now.minus(since).compareTo(scan.grade.window) < 0;
       case AT_MOST_ONCE -> since == null;
     };
-    boolean open = !scan.closed && !part.in && !part.over && scan.step().contains(part)
+    boolean open = !scan.closed && !part.in && !part.over
         && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
     long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
     boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
--- a/mixer/src/test/java/gingerring/serve/ServeTest.java
+++ b/mixer/src/test/java/gingerring/serve/ServeTest.java
@@ -180,6 +180,9 @@
     // numbered: a searcher's failure may have run, and to all holders it is the same
     assertEquals(500, scan("post", "1:failed", "{\"partition\":1,\"share\":1}").status);
     // a part whose searcher breaks off, or talks nonsense, goes to the other holder
+    for (int i = 0; i < 8; i++) {
+      scan("search", "", PARTS); // the ration of further trips grows by them
+    }
     assertEquals(200, scan("search", "0:once-reset", PARTS).status);
     Answer again = scan("search", "1:once-junk", PARTS);
     assertTrue(again.body.startsWith("{\"whole\":true,"), again.body);
