--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -76,6 +76,8 @@
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 4;
   private static final double COPY_STAYS = 4;
+  private static final double MOVE_AFTER = 2;
+  private static final double MOVE_LEFT = 2.5;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
@@ -493,6 +495,12 @@
 
   /** What the rules say of another trip now, whatever it may be good for. */
   private boolean mayGoAgain(Part part, Duration now) {
+    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
+    boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
+    return place && mayTryAgain(part, now);
+  }
+
+  private boolean mayTryAgain(Part part, Duration now) {
     Scan scan = part.scan;
     Duration since = part.mayHaveRunSince();
     boolean harmless = switch (scan.grade.repeats) {
@@ -501,12 +509,10 @@
       case AT_MOST_ONCE -> since == null;
     };
     boolean open = !scan.closed && !part.in && !part.over && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
-    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
-    boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
     double allowed = terms.number("Safety.ExtraFree", 0)
         + terms.number("Safety.ResendRatio", 0) * rationTaken.sumWithin(now);
     boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + 1 <= allowed;
-    return harmless && open && place && ration
+    return harmless && open && ration
         && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
@@ -781,14 +787,22 @@
    */
   private void copyLate(Searcher searcher, Duration now) {
     double stay = usualStay(now);
+    boolean copies = terms.flag("PolicyLimits.SecondCopies");
     for (Trip trip : searcher.out) {
-      if (now.minus(trip.sent).toNanos() <= LATE_STAYS * stay) {
-        return;
-      }
+      double stayed = now.minus(trip.sent).toNanos();
       Part part = trip.part;
       double left = part.scan.quoted.minus(now).toNanos();
-      if (part.trips.get(part.trips.size() - 1) == trip && left > 0 && left <= COPY_STAYS * stay) {
+      if (part.trips.get(part.trips.size() - 1) != trip || left <= 0) {
+        continue;
+      }
+      if (copies && stayed > LATE_STAYS * stay && left <= COPY_STAYS * stay) {
         sendAgain(part, now);
+      } else if (!copies && stayed > MOVE_AFTER * stay && left <= MOVE_LEFT * stay
+          && mayTryAgain(part, now) && withinRation(now)) {
+        if (plan(part, now)) {
+          host.recall(part.id, part.trips.size() - 1);
+        }
+        unplan(part);
       }
     }
   }
