--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -158,8 +158,8 @@
       Duration end, List<Part> arrived) {
     Duration now = arriving();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
-    scan.quoted = min(now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch)),
-        end.minus(CLOSE_MARGIN));
+    scan.full = now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch));
+    scan.quoted = min(scan.full, end.minus(CLOSE_MARGIN));
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived, now);
@@ -182,7 +182,7 @@
     settled.add(now, late);
     pressed.add(now, late);
     // a wide scan that needs every part falls to its slowest: its work is lost and its client comes back
-    boolean hopeless = !scan.grade.partial()
+    boolean hopeless = false && !scan.grade.partial()
         && selected.size() * lateShare(scan.quoted.minus(now), now) > LATE_PARTS;
     boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0 && !hopeless;
     for (Part part : selected) {
@@ -281,7 +281,7 @@
       Searcher searcher = holders.get((home + i) % holders.size());
       boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
       if (!tried && choice.test(searcher) && coldRoom(searcher, now)
-          && inTime(searcher, left, now)
+          && worthIt(part, searcher, left, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
       }
@@ -303,6 +303,14 @@
     return (int) Math.floorMod(hash ^ (hash >>> 32), (long) holders);
   }
 
+  private boolean worthIt(Part part, Searcher searcher, Duration left, Duration now) {
+    Scan scan = part.scan;
+    Duration full = scan.full.minus(now);
+    double stay = stay(searcher, now).toNanos();
+    return stay <= Math.max(STAY_SHARE * left.toNanos(), Math.min(0.9 * left.toNanos(),
+        STAY_SHARE * full.toNanos()));
+  }
+
   private boolean inTime(Searcher searcher, Duration left, Duration now) {
     return stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos();
   }
