--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -77,6 +77,7 @@
   private static final double LATE_STAYS = 4;
   private static final double COPY_STAYS = 4;
   private static final double MOVE_AFTER = 2;
+  private static final double ZONE_LENT = 6;
   private static final double MOVE_LEFT = 2.5;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
@@ -124,6 +125,7 @@
   private Duration surveyedAt;
   private double fleetPace;
   private double usualGap;
+  private final Map<Integer, Double> zonePaces = new HashMap<>();
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
@@ -356,6 +358,7 @@
       return Duration.ZERO;
     }
     int back = Math.max(RECENT, searcher.answers.back(now, OWN_TELLING));
+    usual = zonePaces.getOrDefault(searcher.listing.zone(), usual);
     return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + ANSWERS_LENT * usual)
         / (searcher.answers.sum(now, back) + ANSWERS_LENT)));
   }
@@ -689,6 +692,19 @@
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
+    zonePaces.clear();
+    active.stream().map(each -> each.listing.zone()).distinct().forEach(zone -> {
+      double its = 0;
+      double its2 = 0;
+      for (Searcher searcher : active) {
+        if (searcher.listing.zone() == zone && searcher.benchedUntil == null) {
+          searcher.noteBusy(now);
+          its += searcher.busy.sum(now, RECENT);
+          its2 += searcher.answers.sum(now, RECENT);
+        }
+      }
+      zonePaces.put(zone, (its + ZONE_LENT * fleetPace) / (its2 + ZONE_LENT));
+    });
     usualGap = gaps / Math.max(1, answers);
   }
 
