--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -125,6 +125,13 @@
   private Duration surveyedAt;
   private double fleetPace;
   private double usualGap;
+  private final Map<String, Integer> tally = new java.util.TreeMap<>();
+  private boolean told;
+  private void tally(Scan scan, String what) {
+    long q = scan.span;
+    String b = scan.full.compareTo(scan.quoted) <= 0 ? "full" : q < 300 ? "s300" : q < 450 ? "s450" : q < 700 ? "s700" : "s999";
+    tally.merge(b + "/" + grades.indexOf(scan.grade) + "/" + what, 1, Integer::sum);
+  }
   private final Map<Integer, Double> zonePaces = new HashMap<>();
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
@@ -162,6 +169,7 @@
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
     scan.full = now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch));
     scan.quoted = min(scan.full, end.minus(CLOSE_MARGIN));
+    scan.span = scan.quoted.minus(now).toMillis();
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived, now);
@@ -195,6 +203,7 @@
       unplan(part);
     }
     if (!enough) {
+      tally(scan, "gate");
       giveUp(scan);
       return;
     }
@@ -558,12 +567,14 @@
       }
       answer(scan, all && scan.wholeSoFar);
     } else if (!out || possible < least - WEIGHT_SLACK) {
+      tally(scan, "lostparts");
       giveUp(scan);
     }
   }
 
   private void answer(Scan scan, boolean whole) {
     host.answer(scan.id, whole);
+    tally(scan, (whole ? "whole" : "partial") + (host.now().compareTo(scan.quoted) > 0 ? "late" : ""));
     if (scan.grade.fetch > 0 && !scan.secondStep) {
       scan.beginSecondStep(whole);
       scan.parts.forEach(this::recallTrips);
@@ -627,6 +638,7 @@
     }
     timeOut(scan, host.now());
     if (scan.grade.lateShare == 0) {
+      tally(scan, "quoted");
       giveUp(scan);
     }
   }
@@ -641,6 +653,7 @@
   private void patienceEnds(Scan scan) {
     settle(scan);
     if (!scan.closed) {
+      tally(scan, "patience");
       giveUp(scan);
     }
   }
@@ -649,6 +662,7 @@
   public void clientLeft(ScanId id) {
     Scan scan = scans.get(id);
     if (scan != null) {
+      tally(scan, "left");
       close(scan);
     }
   }
@@ -715,12 +729,16 @@
   private void lookRound() {
     wakeAfter(LOOK_ROUND, this::lookRound); // first, so that a failure in one round does not end them all
     Duration now = host.now();
+    if (!told && now.compareTo(Duration.ofSeconds(38)) > 0) {
+      told = true;
+      host.log("TALLY " + tally);
+    }
     if (now.minus(coverageMoved).compareTo(COVERAGE_PACE) >= 0) {
       coverageMoved = now;
       double step = pressure(now) > PRESSURE_BOUND ? -COVERAGE_STEP : COVERAGE_STEP;
       double moved = Math.max(0, Math.min(1, coverage + step));
       if (moved < coverage && coverage == 1) {
-        log("coverage narrows, pressure " + Math.round(100 * pressure(now)) + "%");
+        nolog("coverage narrows, pressure " + Math.round(100 * pressure(now)) + "%");
       }
       coverage = moved;
     }
@@ -800,7 +818,7 @@
     searcher.benchedUntil = now.plus(searcher.benchSpan);
     searcher.trialsLeft = 0;
     host.benched(searcher.id);
-    log("searcher in cell " + searcher.listing.cell() + " benched: " + why);
+    nolog("searcher in cell " + searcher.listing.cell() + " benched: " + why);
   }
 
   /**
@@ -871,6 +889,8 @@
     host.wakeAfter(span, id);
   }
 
+  private void nolog(String line) {}
+
   private void log(String line) {
     if (logged++ < LOG_LINES) {
       host.log(line);
