--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -52,7 +52,7 @@
   private static final double STOOD_STILL = 2;
   /** No word for this long, and for this many usual spans between answers, is silence and no mere pause. */
   private static final Duration SILENCE = Duration.ofMillis(700);
-  private static final double SILENCE_PACES = 6;
+  private static final double SILENCE_PACES = 4;
   /** So many errors, and so large a share of all ends, are more than a healthy searcher makes by chance. */
   private static final double ERRORS_LEAST = 2;
   private static final double ERROR_SHARE = 0.4;
@@ -76,9 +76,9 @@
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 4;
   private static final double COPY_STAYS = 4;
-  private static final double MOVE_AFTER = 2;
-  private static final double ZONE_LENT = 6;
-  private static final double MOVE_LEFT = 2.5;
+  private static final double MOVE_AFTER = 2.5;
+  private static final double ZONE_LENT = 3;
+  private static final double MOVE_LEFT = 2;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
@@ -125,13 +125,6 @@
   private Duration surveyedAt;
   private double fleetPace;
   private double usualGap;
-  private final Map<String, Integer> tally = new java.util.TreeMap<>();
-  private boolean told;
-  private void tally(Scan scan, String what) {
-    long q = scan.span;
-    String b = scan.full.compareTo(scan.quoted) <= 0 ? "full" : q < 300 ? "s300" : q < 450 ? "s450" : q < 700 ? "s700" : "s999";
-    tally.merge(b + "/" + grades.indexOf(scan.grade) + "/" + what, 1, Integer::sum);
-  }
   private final Map<Integer, Double> zonePaces = new HashMap<>();
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
@@ -169,7 +162,6 @@
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
     scan.full = now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch));
     scan.quoted = min(scan.full, end.minus(CLOSE_MARGIN));
-    scan.span = scan.quoted.minus(now).toMillis();
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived, now);
@@ -203,7 +195,6 @@
       unplan(part);
     }
     if (!enough) {
-      tally(scan, "gate");
       giveUp(scan);
       return;
     }
@@ -538,7 +529,7 @@
 
   /** Further trips feed a jam: their number follows that of first trips. */
   private boolean withinRation(Duration now) {
-    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
+    return terms.has("Safety.ResendSpanMs") || extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
@@ -567,14 +558,12 @@
       }
       answer(scan, all && scan.wholeSoFar);
     } else if (!out || possible < least - WEIGHT_SLACK) {
-      tally(scan, "lostparts");
       giveUp(scan);
     }
   }
 
   private void answer(Scan scan, boolean whole) {
     host.answer(scan.id, whole);
-    tally(scan, (whole ? "whole" : "partial") + (host.now().compareTo(scan.quoted) > 0 ? "late" : ""));
     if (scan.grade.fetch > 0 && !scan.secondStep) {
       scan.beginSecondStep(whole);
       scan.parts.forEach(this::recallTrips);
@@ -638,7 +627,6 @@
     }
     timeOut(scan, host.now());
     if (scan.grade.lateShare == 0) {
-      tally(scan, "quoted");
       giveUp(scan);
     }
   }
@@ -653,7 +641,6 @@
   private void patienceEnds(Scan scan) {
     settle(scan);
     if (!scan.closed) {
-      tally(scan, "patience");
       giveUp(scan);
     }
   }
@@ -662,7 +649,6 @@
   public void clientLeft(ScanId id) {
     Scan scan = scans.get(id);
     if (scan != null) {
-      tally(scan, "left");
       close(scan);
     }
   }
@@ -729,16 +715,12 @@
   private void lookRound() {
     wakeAfter(LOOK_ROUND, this::lookRound); // first, so that a failure in one round does not end them all
     Duration now = host.now();
-    if (!told && now.compareTo(Duration.ofSeconds(38)) > 0) {
-      told = true;
-      host.log("TALLY " + tally);
-    }
     if (now.minus(coverageMoved).compareTo(COVERAGE_PACE) >= 0) {
       coverageMoved = now;
       double step = pressure(now) > PRESSURE_BOUND ? -COVERAGE_STEP : COVERAGE_STEP;
       double moved = Math.max(0, Math.min(1, coverage + step));
       if (moved < coverage && coverage == 1) {
-        nolog("coverage narrows, pressure " + Math.round(100 * pressure(now)) + "%");
+        log("coverage narrows, pressure " + Math.round(100 * pressure(now)) + "%");
       }
       coverage = moved;
     }
@@ -818,7 +800,7 @@
     searcher.benchedUntil = now.plus(searcher.benchSpan);
     searcher.trialsLeft = 0;
     host.benched(searcher.id);
-    nolog("searcher in cell " + searcher.listing.cell() + " benched: " + why);
+    log("searcher in cell " + searcher.listing.cell() + " benched: " + why);
   }
 
   /**
@@ -839,7 +821,7 @@
       }
       if (copies && stayed > LATE_STAYS * stay && left <= COPY_STAYS * stay) {
         sendAgain(part, now);
-      } else if (!copies && stayed > MOVE_AFTER * stay && left <= MOVE_LEFT * stay
+      } else if (!copies && stayed > MOVE_AFTER * stay && left <= MOVE_LEFT * stay && searcher.unheard.toNanos() >= stayed
           && mayTryAgain(part, now) && withinRation(now)) {
         if (plan(part, now)) {
           host.recall(part.id, part.trips.size() - 1);
@@ -889,8 +871,6 @@
     host.wakeAfter(span, id);
   }
 
-  private void nolog(String line) {}
-
   private void log(String line) {
     if (logged++ < LOG_LINES) {
       host.log(line);
--- a/mixer/src/main/java/gingerring/decide/Scan.java
+++ b/mixer/src/main/java/gingerring/decide/Scan.java
@@ -17,7 +17,6 @@
   /** By when its client is to have its answer. */
   public Duration quoted;
   public Duration full;
-  public long span;
   /** The first step has been answered from, and its parts are {@code firstParts}. */
   public boolean secondStep;
   public int firstParts;
