--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -52,7 +52,7 @@
   private static final double STOOD_STILL = 2;
   /** No word for this long, and for this many usual spans between answers, is silence and no mere pause. */
   private static final Duration SILENCE = Duration.ofMillis(700);
-  private static final double SILENCE_PACES = 4;
+  private static final double SILENCE_PACES = 6;
   /** So many errors, and so large a share of all ends, are more than a healthy searcher makes by chance. */
   private static final double ERRORS_LEAST = 2;
   private static final double ERROR_SHARE = 0.4;
@@ -76,7 +76,7 @@
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 4;
   private static final double COPY_STAYS = 4;
-  private static final double MOVE_AFTER = 2.5;
+  private static final double MOVE_AFTER = 2;
   private static final double ZONE_LENT = 3;
   private static final double MOVE_LEFT = 2;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
@@ -529,7 +529,7 @@
 
   /** Further trips feed a jam: their number follows that of first trips. */
   private boolean withinRation(Duration now) {
-    return terms.has("Safety.ResendSpanMs") || extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
+    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
@@ -821,7 +821,7 @@
       }
       if (copies && stayed > LATE_STAYS * stay && left <= COPY_STAYS * stay) {
         sendAgain(part, now);
-      } else if (!copies && stayed > MOVE_AFTER * stay && left <= MOVE_LEFT * stay && searcher.unheard.toNanos() >= stayed
+      } else if (!copies && stayed > MOVE_AFTER * stay && left <= stay / STAY_SHARE + LOOK_ROUND.toNanos() && searcher.unheard.toNanos() >= stayed
           && mayTryAgain(part, now) && withinRation(now)) {
         if (plan(part, now)) {
           host.recall(part.id, part.trips.size() - 1);
