--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -76,7 +76,7 @@
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 4;
   private static final double COPY_STAYS = 4;
-  private static final double MOVE_AFTER = 2;
+  private static final double MOVE_AFTER = 2.5;
   private static final double ZONE_LENT = 3;
   private static final double MOVE_LEFT = 2;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
@@ -359,7 +359,8 @@
     }
     int back = Math.max(RECENT, searcher.answers.back(now, OWN_TELLING));
     usual = zonePaces.getOrDefault(searcher.listing.zone(), usual);
-    return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + ANSWERS_LENT * usual)
+    double lent = terms.number("x", 4);
+    return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + lent * usual)
         / (searcher.answers.sum(now, back) + ANSWERS_LENT)));
   }
 
