--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -76,9 +76,6 @@
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 4;
   private static final double COPY_STAYS = 4;
-  private static final double MOVE_AFTER = 2.5;
-  private static final double ZONE_LENT = 3;
-  private static final double MOVE_LEFT = 2;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
@@ -125,7 +122,6 @@
   private Duration surveyedAt;
   private double fleetPace;
   private double usualGap;
-  private final Map<Integer, Double> zonePaces = new HashMap<>();
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
@@ -160,8 +156,8 @@
       Duration end, List<Part> arrived) {
     Duration now = arriving();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
-    scan.full = now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch));
-    scan.quoted = min(scan.full, end.minus(CLOSE_MARGIN));
+    scan.quoted = min(now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch)),
+        end.minus(CLOSE_MARGIN));
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived, now);
@@ -184,7 +180,7 @@
     settled.add(now, late);
     pressed.add(now, late);
     // a wide scan that needs every part falls to its slowest: its work is lost and its client comes back
-    boolean hopeless = false && !scan.grade.partial()
+    boolean hopeless = !scan.grade.partial()
         && selected.size() * lateShare(scan.quoted.minus(now), now) > LATE_PARTS;
     boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0 && !hopeless;
     for (Part part : selected) {
@@ -283,7 +279,7 @@
       Searcher searcher = holders.get((home + i) % holders.size());
       boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
       if (!tried && choice.test(searcher) && coldRoom(searcher, now)
-          && worthIt(part, searcher, left, now)
+          && inTime(searcher, left, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
       }
@@ -305,14 +301,6 @@
     return (int) Math.floorMod(hash ^ (hash >>> 32), (long) holders);
   }
 
-  private boolean worthIt(Part part, Searcher searcher, Duration left, Duration now) {
-    Scan scan = part.scan;
-    Duration full = scan.full.minus(now);
-    double stay = stay(searcher, now).toNanos();
-    return stay <= Math.max(STAY_SHARE * left.toNanos(), Math.min(0.9 * left.toNanos(),
-        STAY_SHARE * full.toNanos()));
-  }
-
   private boolean inTime(Searcher searcher, Duration left, Duration now) {
     return stay(searcher, now).toNanos() <= STAY_SHARE * left.toNanos();
   }
@@ -358,9 +346,7 @@
       return Duration.ZERO;
     }
     int back = Math.max(RECENT, searcher.answers.back(now, OWN_TELLING));
-    usual = zonePaces.getOrDefault(searcher.listing.zone(), usual);
-    double lent = terms.number("x", 4);
-    return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + lent * usual)
+    return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + ANSWERS_LENT * usual)
         / (searcher.answers.sum(now, back) + ANSWERS_LENT)));
   }
 
@@ -507,12 +493,6 @@
 
   /** What the rules say of another trip now, whatever it may be good for. */
   private boolean mayGoAgain(Part part, Duration now) {
-    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
-    boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
-    return place && mayTryAgain(part, now);
-  }
-
-  private boolean mayTryAgain(Part part, Duration now) {
     Scan scan = part.scan;
     Duration since = part.mayHaveRunSince();
     boolean harmless = switch (scan.grade.repeats) {
@@ -521,10 +501,12 @@
       case AT_MOST_ONCE -> since == null;
     };
     boolean open = !scan.closed && !part.in && !part.over && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
+    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
+    boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
     double allowed = terms.number("Safety.ExtraFree", 0)
         + terms.number("Safety.ResendRatio", 0) * rationTaken.sumWithin(now);
     boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + 1 <= allowed;
-    return harmless && open && ration
+    return harmless && open && place && ration
         && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
@@ -693,19 +675,6 @@
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
-    zonePaces.clear();
-    active.stream().map(each -> each.listing.zone()).distinct().forEach(zone -> {
-      double its = 0;
-      double its2 = 0;
-      for (Searcher searcher : active) {
-        if (searcher.listing.zone() == zone && searcher.benchedUntil == null) {
-          searcher.noteBusy(now);
-          its += searcher.busy.sum(now, RECENT);
-          its2 += searcher.answers.sum(now, RECENT);
-        }
-      }
-      zonePaces.put(zone, (its + ZONE_LENT * fleetPace) / (its2 + ZONE_LENT));
-    });
     usualGap = gaps / Math.max(1, answers);
   }
 
@@ -812,22 +781,14 @@
    */
   private void copyLate(Searcher searcher, Duration now) {
     double stay = usualStay(now);
-    boolean copies = terms.flag("PolicyLimits.SecondCopies");
     for (Trip trip : searcher.out) {
-      double stayed = now.minus(trip.sent).toNanos();
+      if (now.minus(trip.sent).toNanos() <= LATE_STAYS * stay) {
+        return;
+      }
       Part part = trip.part;
       double left = part.scan.quoted.minus(now).toNanos();
-      if (part.trips.get(part.trips.size() - 1) != trip || left <= 0) {
-        continue;
-      }
-      if (copies && stayed > LATE_STAYS * stay && left <= COPY_STAYS * stay) {
+      if (part.trips.get(part.trips.size() - 1) == trip && left > 0 && left <= COPY_STAYS * stay) {
         sendAgain(part, now);
-      } else if (!copies && stayed > MOVE_AFTER * stay && left <= stay / STAY_SHARE + LOOK_ROUND.toNanos() && searcher.unheard.toNanos() >= stayed
-          && mayTryAgain(part, now) && withinRation(now)) {
-        if (plan(part, now)) {
-          host.recall(part.id, part.trips.size() - 1);
-        }
-        unplan(part);
       }
     }
   }
--- a/mixer/src/main/java/gingerring/decide/Scan.java
+++ b/mixer/src/main/java/gingerring/decide/Scan.java
@@ -16,7 +16,6 @@
   public final List<Part> parts = new ArrayList<>();
   /** By when its client is to have its answer. */
   public Duration quoted;
-  public Duration full;
   /** The first step has been answered from, and its parts are {@code firstParts}. */
   public boolean secondStep;
   public int firstParts;
