Let a client of little patience through where searchers are no jam

The gate now goes by the full quoted time, whatever the client's patience, as long as the stay itself fits. It spends work on what is often late; a jam is still seen by the full quoted time.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -156,8 +156,8 @@
       Duration end, List<Part> arrived) {
     Duration now = arriving();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
-    scan.quoted = min(now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch)),
-        end.minus(CLOSE_MARGIN));
+    scan.fullQuoted = now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch));
+    scan.quoted = min(scan.fullQuoted, end.minus(CLOSE_MARGIN));
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived, now);
@@ -275,11 +275,14 @@
     List<Searcher> holders = roster.holders(part.shard);
     int home = home(part, Math.max(1, holders.size()));
     Duration left = (now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end).minus(now);
+    // a client of little patience is no jam: half of the full quoted time will do if the stay fits at all.
+    // It spends work on what is often late, and that may feed a jam no longer than the gate takes to see it
+    Duration room = max(left, min(scale(left, 1 / STAY_SHARE), part.scan.fullQuoted.minus(now)));
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
       boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
       if (!tried && choice.test(searcher) && coldRoom(searcher, now)
-          && inTime(searcher, left, now)
+          && inTime(searcher, room, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
       }
--- a/mixer/src/main/java/gingerring/decide/Scan.java
+++ b/mixer/src/main/java/gingerring/decide/Scan.java
@@ -16,6 +16,8 @@
   public final List<Part> parts = new ArrayList<>();
   /** By when its client is to have its answer. */
   public Duration quoted;
+  /** The same for a client that waits so long. */
+  public Duration fullQuoted;
   /** The first step has been answered from, and its parts are {@code firstParts}. */
   public boolean secondStep;
   public int firstParts;
--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -209,6 +209,23 @@
     assertEquals(2, stage.sent.size() - first);
   }
 
+  /** Searchers that a client of usual patience would be let to are no jam for one that soon leaves. */
+  @Test void aClientOfLittlePatienceIsNotKeptFromSearchersThatAreNoJam() {
+    Stage stage = new Stage().fleet(4);
+    for (int i = 0; i < 4; i++) {
+      stage.scan(1000 + i, 0.25, 0.25, 0.25, 0.25);
+      stage.pass(190);
+      for (int j = 4 * i; j < 4 * i + 4; j++) {
+        stage.end(j, Outcome.SUCCEEDED);
+      }
+    }
+    stage.scanFor(1, 330, 1);
+    assertEquals(17, stage.sent.size());
+    stage.scanFor(2, 100, 1);
+    assertEquals(17, stage.sent.size());
+    assertEquals("nack", stage.finals.get(new ScanId(2)));
+  }
+
   @Test void fastErrorsDoNotAttractParts() {
     Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(4);
     int toBad = 0;
--- a/mixer/src/test/java/gingerring/decide/Stage.java
+++ b/mixer/src/test/java/gingerring/decide/Stage.java
@@ -72,11 +72,16 @@
    * shard.
    */
   void scan(int id, double... weights) {
+    scanFor(id, 4000, weights);
+  }
+
+  /** The same for a client that waits so many milliseconds. */
+  void scanFor(int id, long patience, double... weights) {
     List<Part> parts = new ArrayList<>();
     for (int i = 0; i < weights.length; i++) {
       parts.add(new Part(new PartId(100L * id + i), i, weights[i], 0));
     }
-    mixer.scanArrived(new ScanId(id), id, 0, 0, false, Duration.ZERO, now.plus(ms(4000)), parts);
+    mixer.scanArrived(new ScanId(id), id, 0, 0, false, Duration.ZERO, now.plus(ms(patience)), parts);
   }
 
   void end(int number, Outcome outcome) {
