Lend a searcher the pace of its zone in place of the fleet's

The two answers lent to each searcher are of its zone's pace as this mixer sees it, itself lent three of the fleet's.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -62,6 +62,8 @@
   /** The fleet's pace counts in each searcher's as so many answers, once so many tell it. */
   private static final double ANSWERS_LENT = 2;
   private static final double ANSWERS_TELLING = 10;
+  /** The fleet's pace counts in that of each zone as so many answers. */
+  private static final double ZONE_LENT = 3;
   /** How much of a pace a further own part adds to a line that it shares with others' parts. */
   private static final double OWN_SHARE = 0.5;
   /** A bench lasts some seconds, doubled each time in a row, and ends in so many parts one at a time. */
@@ -121,6 +123,7 @@
   private final Set<Searcher> active = new LinkedHashSet<>();
   private Duration surveyedAt;
   private double fleetPace;
+  private final Map<Integer, Double> zonePaces = new HashMap<>();
   private double usualGap;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
@@ -338,16 +341,16 @@
   }
 
   /**
-   * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. The
-   * fleet's pace counts as a few answers more, so that a quiet mixer does not take one pause for slowness.
+   * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. Its
+   * zone's pace counts as a few answers more, so that a quiet mixer does not take one pause for slowness.
    */
   private Duration pace(Searcher searcher, Duration now) {
     searcher.noteBusy(now);
     survey(now);
-    double usual = fleetPace;
-    if (usual == 0) {
+    if (fleetPace == 0) {
       return Duration.ZERO;
     }
+    double usual = zonePaces.getOrDefault(searcher.listing.zone(), fleetPace);
     int back = Math.max(RECENT, searcher.answers.back(now, OWN_TELLING));
     return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + ANSWERS_LENT * usual)
         / (searcher.answers.sum(now, back) + ANSWERS_LENT)));
@@ -660,7 +663,12 @@
 
   /**
    * Measures what hangs on all searchers, once for each moment: the fleet's pace, the span between answers
-   * to this mixer (waits that have not ended, and may never, are left out of it).
+   * to this mixer (waits that have not ended, and may never, are left out of it), and each zone's pace as
+   * seen from here. That guards against whatever strikes a zone, or the way to it, and no single searcher:
+   * slow and lossy links, cut ways, zones that are jammed; a mixer has too few parts at each searcher to see
+   * it there. It may send too much to the other zones, whose own paces then tell. A zone that nothing is
+   * sent to is forgotten in the window, and tried again. Benched searchers are left out of it: what one bad
+   * searcher does is not its zone's.
    */
   private void survey(Duration now) {
     if (now.equals(surveyedAt)) {
@@ -670,14 +678,22 @@
     double busy = 0;
     double gaps = 0;
     double answers = 0;
+    Map<Integer, double[]> zones = new HashMap<>();
     for (Searcher searcher : active) {
       double its = searcher.busy.sum(now, RECENT);
+      double answered = searcher.answers.sum(now, RECENT);
       busy += its;
       gaps += Math.max(0, its - searcher.unheard.toNanos());
-      answers += searcher.answers.sum(now, RECENT);
+      answers += answered;
+      double[] zone = zones.computeIfAbsent(searcher.listing.zone(), each -> new double[2]);
+      zone[0] += searcher.benchedUntil == null ? its : 0;
+      zone[1] += searcher.benchedUntil == null ? answered : 0;
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
+    zonePaces.clear();
+    zones.forEach((zone, sums) ->
+        zonePaces.put(zone, (sums[0] + ZONE_LENT * fleetPace) / (sums[1] + ZONE_LENT)));
     usualGap = gaps / Math.max(1, answers);
   }
 
--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -226,6 +226,40 @@
     assertEquals("nack", stage.finals.get(new ScanId(2)));
   }
 
+  /** What is slow is the zone or the way to it, so a searcher there that was never asked is not asked. */
+  @Test void aZoneWhosePartsComeLateIsPassedOverAlsoAtItsSearchersUnknown() {
+    Stage stage = new Stage("Domain.Places", "8");
+    List<Listing> lines = new ArrayList<>();
+    Map<SearcherId, Integer> zones = new HashMap<>();
+    for (int i = 0; i < 8; i++) {
+      zones.put(new SearcherId(i), i % 2);
+      lines.add(new Listing(new SearcherId(i), i % 2, 0, i, Listing.Standing.READY, 1, null));
+    }
+    stage.mixer.rosterTold(lines, true);
+    for (int i = 0; i < 4; i++) {
+      int first = stage.sent.size();
+      stage.scan(100 + i, 0.2, 0.2, 0.2, 0.2, 0.2);
+      for (int zone = 0; zone < 2; zone++) {
+        stage.pass(zone == 0 ? 20 : 680);
+        for (int j = first; j < stage.sent.size(); j++) {
+          SearcherId asked = stage.sent.get(j).searcher();
+          if (zones.get(asked) == zone) {
+            stage.end(j, Outcome.SUCCEEDED);
+          }
+        }
+      }
+    }
+    int first = stage.sent.size();
+    for (int i = 0; i < 8; i++) {
+      Part part = new Part(new PartId(i), 6, 1, 0);
+      stage.mixer.scanArrived(new ScanId(i), i, 0, 0, false, Duration.ZERO, stage.now.plus(ms(4000)),
+          List.of(part));
+      stage.end(first + i, Outcome.SUCCEEDED);
+    }
+    assertEquals(List.of(new SearcherId(6)), stage.sent.stream().skip(first).map(Stage.Sent::searcher)
+        .distinct().toList());
+  }
+
   @Test void fastErrorsDoNotAttractParts() {
     Stage stage = new Stage("PolicyLimits.MaxAttempts", "1").fleet(4);
     int toBad = 0;
