Move late parts where no second trip may fly beside the first

A part out for 2.5 usual stays at a searcher that has given no word since is recalled at the last moment at which the gate is likely to let another trip go, and sent elsewhere when its end is told. The recall proves nothing, so the grade must allow a repeat. A part is left alone if budget, own ration or holders would not let a trip follow; recalls under way count in both.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -78,6 +78,8 @@
   /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
   private static final double LATE_STAYS = 4;
   private static final double COPY_STAYS = 4;
+  /** Where no copies are allowed, a part out for so many usual stays with no word may be moved. */
+  private static final double MOVE_STAYS = 2.5;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
@@ -125,6 +127,8 @@
   private double fleetPace;
   private final Map<Integer, Double> zonePaces = new HashMap<>();
   private double usualGap;
+  /** Trips recalled to send their parts elsewhere, whose ends have not been told. */
+  private int moving;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
@@ -423,6 +427,8 @@
       return;
     }
     Duration now = arriving();
+    moving -= part.moving ? 1 : 0;
+    part.moving = false;
     Trip trip = part.trips.get(number);
     trip.outcome = outcome;
     trip.ended = now;
@@ -499,6 +505,12 @@
 
   /** What the rules say of another trip now, whatever it may be good for. */
   private boolean mayGoAgain(Part part, Duration now) {
+    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
+    return mayFollow(part, now) && (out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies"));
+  }
+
+  /** What the rules say of another trip once no more are out than may be. */
+  private boolean mayFollow(Part part, Duration now) {
     Scan scan = part.scan;
     Duration since = part.mayHaveRunSince();
     boolean harmless = switch (scan.grade.repeats) {
@@ -507,18 +519,16 @@
       case AT_MOST_ONCE -> since == null;
     };
     boolean open = !scan.closed && !part.in && !part.over && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
-    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
-    boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
     double allowed = terms.number("Safety.ExtraFree", 0)
         + terms.number("Safety.ResendRatio", 0) * rationTaken.sumWithin(now);
-    boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + 1 <= allowed;
-    return harmless && open && place && ration
+    boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + moving + 1 <= allowed;
+    return harmless && open && ration
         && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
   /** Further trips feed a jam: their number follows that of first trips. */
   private boolean withinRation(Duration now) {
-    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
+    return extras.sum(now) + moving + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
@@ -800,18 +810,43 @@
    */
   private void copyLate(Searcher searcher, Duration now) {
     double stay = usualStay(now);
+    boolean copies = terms.flag("PolicyLimits.SecondCopies");
     for (Trip trip : searcher.out) {
-      if (now.minus(trip.sent).toNanos() <= LATE_STAYS * stay) {
+      double out = now.minus(trip.sent).toNanos();
+      if (out <= (copies ? LATE_STAYS : MOVE_STAYS) * stay) {
         return;
       }
       Part part = trip.part;
       double left = part.scan.quoted.minus(now).toNanos();
-      if (part.trips.get(part.trips.size() - 1) == trip && left > 0 && left <= COPY_STAYS * stay) {
+      if (part.trips.get(part.trips.size() - 1) != trip || left <= 0) {
+        continue;
+      }
+      if (copies && left <= COPY_STAYS * stay) {
         sendAgain(part, now);
+      } else if (!copies && left <= stay / STAY_SHARE + LOOK_ROUND.toNanos()
+          && searcher.unheard.toNanos() >= out) {
+        move(part, now);
       }
     }
   }
 
+  /**
+   * Where no second trip may fly beside the first, a late one is recalled and its part sent elsewhere when
+   * its end is told: as late as the gate is likely to let another go, and only from a searcher that has given
+   * no word since, as what answers others will come to this one too. Guards against all that copies do, lost
+   * answers of a busy searcher left aside. It throws away a trip that may still come, and feeds a jam, hence
+   * the ration; trips that the ration or the holders would not let follow are left alone.
+   */
+  private void move(Part part, Duration now) {
+    if (terms.flag("PolicyLimits.Cancel") && !part.moving && mayFollow(part, now) && withinRation(now)
+        && plan(part, now)) {
+      part.moving = true;
+      moving++;
+      host.recall(part.id, part.trips.size() - 1);
+    }
+    unplan(part);
+  }
+
   /** The roster has been told: all of it, or what changed. */
   public void rosterTold(List<Listing> lines, boolean all) {
     Duration now = arriving();
--- a/mixer/src/main/java/gingerring/decide/Part.java
+++ b/mixer/src/main/java/gingerring/decide/Part.java
@@ -15,6 +15,8 @@
   public boolean in;
   /** The end of the host's patience with this part was told: nothing may be sent for it. */
   public boolean over;
+  /** Its trip out was recalled for another to follow. */
+  public boolean moving;
   public Searcher planned;
   /** How many trusted searchers hold its shard. */
   public int choices;
--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -226,6 +226,33 @@
     assertEquals("nack", stage.finals.get(new ScanId(2)));
   }
 
+  @Test void aLatePartIsMovedWhereNoSecondTripMayFlyBesideTheFirst() {
+    Stage stage = new Stage("PolicyLimits.SecondCopies", "false").fleet(4);
+    warm(stage, 10);
+    int first = stage.sent.size();
+    stage.scan(1, 1);
+    stage.pass(700);
+    assertEquals(List.of(), stage.recalled);
+    stage.pass(150);
+    assertEquals(List.of(stage.sent.get(first).part()), stage.recalled);
+    assertEquals(1, stage.sent.size() - first);
+    stage.end(first, Outcome.CALLED_OFF);
+    assertEquals(2, stage.sent.size() - first);
+    assertNotEquals(stage.sent.get(first).searcher(), stage.sent.get(first + 1).searcher());
+    stage.end(first + 1, Outcome.SUCCEEDED);
+    assertEquals("whole", stage.finals.get(new ScanId(1)));
+  }
+
+  /** A recall that no trip may follow would only lose the answer. */
+  @Test void movesNoMorePartsThanTheBudgetLetsFollow() {
+    Stage stage = new Stage("PolicyLimits.SecondCopies", "false", "Safety.ExtraFree", "1",
+        "Safety.ResendRatio", "0", "Safety.ResendSpanMs", "2000").fleet(4);
+    warm(stage, 10);
+    stage.scan(1, 0.25, 0.25, 0.25, 0.25);
+    stage.pass(900);
+    assertEquals(1, stage.recalled.size());
+  }
+
   /** What is slow is the zone or the way to it, so a searcher there that was never asked is not asked. */
   @Test void aZoneWhosePartsComeLateIsPassedOverAlsoAtItsSearchersUnknown() {
     Stage stage = new Stage("Domain.Places", "8");
