--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -35,8 +35,6 @@
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take, as stays scatter about it. */
   private static final double STAY_SHARE = 0.5;
-  /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
-  private static final double LATE_PARTS = 1.5;
   /**
    * The fleet's pace is that of the last seconds, and so is a searcher's where so many answers tell it; else
    * the window of a searcher grows until they do, since at a quiet mixer they come seconds apart.
@@ -186,10 +184,7 @@
     // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
     settled.add(now, late);
     pressed.add(now, late);
-    // a wide scan that needs every part falls to its slowest: its work is lost and its client comes back
-    boolean hopeless = !scan.grade.partial()
-        && selected.size() * lateShare(scan.quoted.minus(now), now) > LATE_PARTS;
-    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0 && !hopeless;
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
     for (Part part : selected) {
       if (enough && part.planned != null) {
         firsts.add(now, 1);
