--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -35,8 +35,6 @@
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take, as stays scatter about it. */
   private static final double STAY_SHARE = 0.5;
-  /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
-  private static final double LATE_PARTS = 1.5;
   /**
    * The fleet's pace is that of the last seconds, and so is a searcher's where so many answers tell it; else
    * the window of a searcher grows until they do, since at a quiet mixer they come seconds apart.
@@ -62,6 +60,8 @@
   /** The fleet's pace counts in each searcher's as so many answers, once so many tell it. */
   private static final double ANSWERS_LENT = 2;
   private static final double ANSWERS_TELLING = 10;
+  /** The fleet's pace counts in that of each zone as so many answers. */
+  private static final double ZONE_LENT = 3;
   /** How much of a pace a further own part adds to a line that it shares with others' parts. */
   private static final double OWN_SHARE = 0.5;
   /** A bench lasts some seconds, doubled each time in a row, and ends in so many parts one at a time. */
@@ -120,7 +120,10 @@
   private final Set<Searcher> active = new LinkedHashSet<>();
   private Duration surveyedAt;
   private double fleetPace;
+  private final Map<Integer, Double> zonePaces = new HashMap<>();
   private double usualGap;
+  /** Trips recalled to send their parts elsewhere, whose ends have not been told. */
+  private int moving;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
@@ -155,8 +158,8 @@
       Duration end, List<Part> arrived) {
     Duration now = arriving();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
-    scan.quoted = min(now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch)),
-        end.minus(CLOSE_MARGIN));
+    scan.fullQuoted = now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch));
+    scan.quoted = min(scan.fullQuoted, end.minus(CLOSE_MARGIN));
     scan.due = due(scan, now);
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
@@ -179,10 +182,7 @@
     // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
     settled.add(now, late);
     pressed.add(now, late);
-    // a wide scan that needs every part falls to its slowest: its work is lost and its client comes back
-    boolean hopeless = !scan.grade.partial()
-        && selected.size() * lateShare(scan.quoted.minus(now), now) > LATE_PARTS;
-    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0 && !hopeless;
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
     for (Part part : selected) {
       if (enough && part.planned != null) {
         firsts.add(now, 1);
@@ -295,12 +295,15 @@
   private boolean plan(Part part, Duration now, Predicate<Searcher> choice, Duration left) {
     List<Searcher> holders = roster.holders(part.shard);
     int home = home(part, Math.max(1, holders.size()));
+    // a client of little patience is no jam: half of the full quoted time will do if the stay fits at all.
+    // It spends work on what is often late, and that may feed a jam no longer than the gate takes to see it
+    Duration room = max(left, min(scale(left, 1 / STAY_SHARE), part.scan.fullQuoted.minus(now)));
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
       boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher)
           || part.scan.failedAt(part.shard, searcher);
       if (!tried && choice.test(searcher) && coldRoom(searcher, now)
-          && inTime(searcher, left, now)
+          && inTime(searcher, room, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
       }
@@ -356,16 +359,16 @@
   }
 
   /**
-   * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. The
-   * fleet's pace counts as a few answers more, so that a quiet mixer does not take one pause for slowness.
+   * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. Its
+   * zone's pace counts as a few answers more, so that a quiet mixer does not take one pause for slowness.
    */
   private Duration pace(Searcher searcher, Duration now) {
     searcher.noteBusy(now);
     survey(now);
-    double usual = fleetPace;
-    if (usual == 0) {
+    if (fleetPace == 0) {
       return Duration.ZERO;
     }
+    double usual = zonePaces.getOrDefault(searcher.listing.zone(), fleetPace);
     int back = Math.max(RECENT, searcher.answers.back(now, OWN_TELLING));
     return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + ANSWERS_LENT * usual)
         / (searcher.answers.sum(now, back) + ANSWERS_LENT)));
@@ -443,6 +446,8 @@
       return;
     }
     Duration now = arriving();
+    moving -= part.moving ? 1 : 0;
+    part.moving = false;
     Trip trip = part.trips.get(number);
     trip.outcome = outcome;
     trip.ended = now;
@@ -519,6 +524,12 @@
 
   /** What the rules say of another trip now, whatever it may be good for. */
   private boolean mayGoAgain(Part part, Duration now) {
+    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
+    return mayFollow(part, now) && (out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies"));
+  }
+
+  /** What the rules say of another trip once no more are out than may be. */
+  private boolean mayFollow(Part part, Duration now) {
     Scan scan = part.scan;
     Duration since = part.mayHaveRunSince();
     boolean harmless = switch (scan.grade.repeats) {
@@ -528,19 +539,17 @@
     };
     boolean open = !scan.closed && !part.in && !part.over
         && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
-    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
-    boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
     double allowed = terms.number("Safety.ExtraFree", 0)
         + terms.number("Safety.ResendRatio", 0) * rationTaken.sumWithin(now);
-    boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + 1 <= allowed;
-    return harmless && open && place && ration
+    boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + moving + 1 <= allowed;
+    return harmless && open && ration
         && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
   /** Further trips feed a jam: their number follows that of first trips, unless the rules set a budget. */
   private boolean withinRation(Duration now) {
     return terms.has("Safety.ResendSpanMs")
-        || extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
+        || extras.sum(now) + moving + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
@@ -685,7 +694,12 @@
 
   /**
    * Measures what hangs on all searchers, once for each moment: the fleet's pace, the span between answers
-   * to this mixer (waits that have not ended, and may never, are left out of it).
+   * to this mixer (waits that have not ended, and may never, are left out of it), and each zone's pace as
+   * seen from here. That guards against whatever strikes a zone, or the way to it, and no single searcher:
+   * slow and lossy links, cut ways, zones that are jammed; a mixer has too few parts at each searcher to see
+   * it there. It may send too much to the other zones, whose own paces then tell. A zone that nothing is
+   * sent to is forgotten in the window, and tried again. Benched searchers are left out of it: what one bad
+   * searcher does is not its zone's.
    */
   private void survey(Duration now) {
     if (now.equals(surveyedAt)) {
@@ -695,14 +709,22 @@
     double busy = 0;
     double gaps = 0;
     double answers = 0;
+    Map<Integer, double[]> zones = new HashMap<>();
     for (Searcher searcher : active) {
       double its = searcher.busy.sum(now, RECENT);
+      double answered = searcher.answers.sum(now, RECENT);
       busy += its;
       gaps += Math.max(0, its - searcher.unheard.toNanos());
-      answers += searcher.answers.sum(now, RECENT);
+      answers += answered;
+      double[] zone = zones.computeIfAbsent(searcher.listing.zone(), each -> new double[2]);
+      zone[0] += searcher.benchedUntil == null ? its : 0;
+      zone[1] += searcher.benchedUntil == null ? answered : 0;
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
+    zonePaces.clear();
+    zones.forEach((zone, sums) ->
+        zonePaces.put(zone, (sums[0] + ZONE_LENT * fleetPace) / (sums[1] + ZONE_LENT)));
     usualGap = gaps / Math.max(1, answers);
   }
 
@@ -810,19 +832,45 @@
    */
   private void copyLate(Searcher searcher, Duration now) {
     double stay = usualStay(now);
+    boolean copies = terms.flag("PolicyLimits.SecondCopies");
     for (Trip trip : List.copyOf(searcher.out)) {
       Part part = trip.part;
       Scan scan = part.scan;
       double half = scan.due.minus(trip.sent).toNanos() / 2.0;
-      double late = stay == 0 ? half : Math.min(scan.grade.fetch > 0 ? half : Long.MAX_VALUE, LATE_STAYS * stay);
+      double late = stay == 0 ? half
+          : Math.min(scan.grade.fetch > 0 ? half : Long.MAX_VALUE, LATE_STAYS * stay);
       Duration by = now.compareTo(scan.due) < 0 || scan.grade.lateShare == 0 ? scan.due : scan.end;
-      if (part.trips.get(part.trips.size() - 1) == trip && now.minus(trip.sent).toNanos() > late
-          && by.minus(now).toNanos() > stay) {
+      double out = now.minus(trip.sent).toNanos();
+      double left = by.minus(now).toNanos();
+      if (part.trips.get(part.trips.size() - 1) != trip || out <= late || left <= stay) {
+        continue;
+      }
+      if (copies) {
         sendAgain(part, now);
+      } else if (left <= stay / STAY_SHARE + LOOK_ROUND.toNanos()
+          && searcher.unheard.toNanos() >= out) {
+        move(part, now);
       }
     }
   }
 
+  /**
+   * Where no second trip may fly beside the first, a late one is recalled and its part sent elsewhere when
+   * its end is told: as late as the gate is likely to let another go, and only from a searcher that has given
+   * no word since, as what answers others will come to this one too. Guards against all that copies do, lost
+   * answers of a busy searcher left aside. It throws away a trip that may still come, and feeds a jam, hence
+   * the ration; trips that the ration or the holders would not let follow are left alone.
+   */
+  private void move(Part part, Duration now) {
+    if (terms.flag("PolicyLimits.Cancel") && !part.moving && mayFollow(part, now) && withinRation(now)
+        && plan(part, now)) {
+      part.moving = true;
+      moving++;
+      host.recall(part.id, part.trips.size() - 1);
+    }
+    unplan(part);
+  }
+
   /** The roster has been told: all of it, or what changed. */
   public void rosterTold(List<Listing> lines, boolean all) {
     Duration now = arriving();
--- a/mixer/src/main/java/gingerring/decide/Scan.java
+++ b/mixer/src/main/java/gingerring/decide/Scan.java
@@ -16,6 +16,8 @@
   public final List<Part> parts = new ArrayList<>();
   /** By when its client is to have its answer. */
   public Duration quoted;
+  /** The same for a client that waits so long. */
+  public Duration fullQuoted;
   /** By when the step in hand is to be answered. */
   public Duration due;
   /** The first step has been answered from, and its parts are {@code firstParts}. */
