Narrow by usual stays at quiet mixers; copy one-step scans as late as can be in time

The work of lith-search, which asks all of a hundred shards, is four fifths of the load and may be answered from 0.4 of its weight, but coverage stays at 0.9: a mixer has a scan in four seconds, its pressure's window holds 2 s, so it narrows a tenth after each scan that came late and has widened by the next. In 15 to 20 s 1,327 of 3,200 trips are called off. Ruled out: benches (few), refusals as full (none), the false reports (their boxes are as slow as the rest then).

Where the window holds fewer than ten settled parts, the usual stay stands in for it: the coverage narrows from the stay at which half of the gate's room is used to the one at which the gate shuts; no further tuned value. It is the design's own measure, as stays are cut off at the time-outs. On old news it leaves parts behind for nothing. Copies of scans of one step go out with three usual stays left, as before; only those of two steps go sooner. The first cold turn comes by chance only where more mixers share a start than may send it a part at once.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -222,8 +222,8 @@
 
   /**
    * By when the first step is to be answered. Where a second one follows, that is early enough for its parts
-   * to be late by what parts stayed of late, and half of the time at the earliest. Guards against a first step
-   * that waits for its last part until no time is left for the second, and all its work is lost.
+   * to be late by what parts stayed of late, and half of the time at the earliest. Guards against a first
+   * step that waits for its last part until no time is left for the second, and all its work is lost.
    */
   private Duration due(Scan scan, Duration now) {
     if (scan.grade.fetch == 0) {
@@ -247,11 +247,17 @@
 
   /**
    * The parts to send: down to the coverage, with room above the floor by what stays of late let expect. A
-   * scan of just its floor falls to a single late part, and all its work is lost.
+   * scan of just its floor falls to a single late part, and all its work is lost. Where the pressure's window
+   * holds too little to tell, the usual stay stands in: from half of what the gate on stays lets through, the
+   * coverage narrows until the gate shuts. Guards against jams that a mixer of few scans would meet with all
+   * its parts each time; on old news it leaves parts behind for nothing.
    */
   private List<Part> select(Scan scan, List<Part> arrived, Duration now) {
-    double late = lateShare(scan.quoted.minus(now), now);
-    double target = Math.max(coverage, least(scan) * HEADROOM / (1 - late));
+    Duration left = scan.quoted.minus(now);
+    double stood = settled.sum(now) >= ANSWERS_TELLING ? 0
+        : usualStay(now) / (STAY_SHARE * Math.max(1, left.toNanos()));
+    double target = Math.max(Math.min(coverage, 2 - 2 * stood),
+        least(scan) * HEADROOM / (1 - lateShare(left, now)));
     if (target >= 1) {
       return arrived;
     }
@@ -274,8 +280,8 @@
   }
 
   /**
-   * The replica with fewest own parts out, ties from its home on: of the preferred ones, else of all trusted, a
-   * benched one only where no other can.
+   * The replica with fewest own parts out, ties from its home on: of the preferred ones, else of all trusted,
+   * a benched one only where no other can.
    */
   private boolean plan(Part part, Duration now) {
     if (!plan(part, now, preferred) && !plan(part, now, Mixer::usable)) {
@@ -288,7 +294,8 @@
   }
 
   private boolean plan(Part part, Duration now, Predicate<Searcher> choice) {
-    Duration by = now.compareTo(part.scan.quoted) < 0 && !part.scan.secondStep ? part.scan.quoted : part.scan.end;
+    Scan scan = part.scan;
+    Duration by = now.compareTo(scan.quoted) < 0 && !scan.secondStep ? scan.quoted : scan.end;
     return plan(part, now, choice, by.minus(now));
   }
 
@@ -413,10 +420,11 @@
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
     double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
     Duration turn = allowed > 0 ? min(coldTurn, scale(tipAfter, 1 / allowed)) : coldTurn;
-    // the first turn at a moment of chance: all mixers hear of a start together
+    // the first turn at a moment of chance: all mixers hear of a start together, and they may be too many
     if (!searcher.startedAt.equals(searcher.turnsSince)) {
       searcher.turnsSince = searcher.startedAt;
-      searcher.lastSent = searcher.startedAt.minus(scale(turn, chance.nextDouble()));
+      double waited = terms.number("FleetSize") <= COLD_MIXERS ? 1 : chance.nextDouble();
+      searcher.lastSent = searcher.startedAt.minus(scale(turn, waited));
     }
     boolean itsTurn = now.minus(searcher.lastSent).compareTo(turn) > 0;
     return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
@@ -824,11 +832,11 @@
   }
 
   /**
-   * A part out for far longer than parts usually stay gets a copy elsewhere while that can well be in time, or
-   * can still earn; one of a second step by half of its time, as a whole scan hangs on it. Guards against
-   * whatever keeps a single answer away, when a mixer sends each searcher too little to judge it: lost
-   * answers, hung, silent, slow or pausing searchers, such as fail one grade alone, cut ways. It may feed a
-   * jam, hence the ration.
+   * A part out for far longer than parts usually stay gets a copy elsewhere, as late as that can well be in
+   * time or can still earn, since most late parts come by themselves; in scans of two steps sooner, by half
+   * of its step's time, as both steps hang on it. Guards against whatever keeps a single answer away, when a
+   * mixer sends each searcher too little to judge it: lost answers, hung, silent, slow or pausing searchers,
+   * such as fail one grade alone, cut ways. It may feed a jam, hence the ration.
    */
   private void copyLate(Searcher searcher, Duration now) {
     double stay = usualStay(now);
@@ -836,18 +844,18 @@
     for (Trip trip : List.copyOf(searcher.out)) {
       Part part = trip.part;
       Scan scan = part.scan;
+      boolean twoSteps = scan.grade.fetch > 0;
       double half = scan.due.minus(trip.sent).toNanos() / 2.0;
-      double late = stay == 0 ? half
-          : Math.min(scan.grade.fetch > 0 ? half : Long.MAX_VALUE, LATE_STAYS * stay);
+      double late = stay == 0 ? half : Math.min(twoSteps ? half : Long.MAX_VALUE, LATE_STAYS * stay);
       Duration by = now.compareTo(scan.due) < 0 || scan.grade.lateShare == 0 ? scan.due : scan.end;
       double out = now.minus(trip.sent).toNanos();
       double left = by.minus(now).toNanos();
       if (part.trips.get(part.trips.size() - 1) != trip || out <= late || left <= stay) {
         continue;
       }
-      if (copies) {
+      if (copies && (twoSteps || stay == 0 || left <= LATE_STAYS * stay + LOOK_ROUND.toNanos())) {
         sendAgain(part, now);
-      } else if (left <= stay / STAY_SHARE + LOOK_ROUND.toNanos()
+      } else if (!copies && left <= stay / STAY_SHARE + LOOK_ROUND.toNanos()
           && searcher.unheard.toNanos() >= out) {
         move(part, now);
       }
