Let a part whose trip has failed go wherever its stay fits the time left

Hung searchers fill up and refuse, 350 to 460 trips in five seconds, and the other holder stood behind the gate on stays, which wants half of the time to spare. Without another trip the work of the scan's other parts is lost, so the gate now asks of such a part only that the stay fits. It may carry a jam on, within budget and ration.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -304,13 +304,17 @@
     int home = home(part, Math.max(1, holders.size()));
     // a client of little patience is no jam: half of the full quoted time will do if the stay fits at all.
     // It spends work on what is often late, and that may feed a jam no longer than the gate takes to see it
-    Duration room = max(left, min(scale(left, 1 / STAY_SHARE), part.scan.fullQuoted.minus(now)));
+    Duration fit = scale(left, 1 / STAY_SHARE);
+    Duration room = max(left, min(fit, part.scan.fullQuoted.minus(now)));
+    // a part whose trip has failed: without another the work of the scan's other parts is lost. Guards against
+    // searchers that refuse or fail while the other holder is busy or far; may carry a jam on, in the ration
+    boolean last = !part.trips.isEmpty() && !part.out();
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
       boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher)
           || part.scan.failedAt(part.shard, searcher);
       if (!tried && choice.test(searcher) && coldRoom(searcher, now)
-          && inTime(searcher, room, now)
+          && inTime(searcher, last ? fit : room, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
       }
--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -305,6 +305,21 @@
     assertEquals("nack", stage.finals.get(new ScanId(2)));
   }
 
+  @Test void aPartWhoseTripHasFailedGoesWhereItsStayFitsAtAll() {
+    Stage stage = new Stage().fleet(4);
+    for (int i = 0; i < 4; i++) {
+      stage.scan(1000 + i, 0.25, 0.25, 0.25, 0.25);
+      stage.pass(400);
+      for (int j = 4 * i; j < 4 * i + 4; j++) {
+        stage.end(j, Outcome.SUCCEEDED);
+      }
+    }
+    stage.scan(1, 1);
+    stage.pass(300);
+    stage.end(16, Outcome.FULL);
+    assertEquals(18, stage.sent.size());
+  }
+
   @Test void aLatePartIsMovedWhereNoSecondTripMayFlyBesideTheFirst() {
     Stage stage = new Stage("PolicyLimits.SecondCopies", "false").fleet(4);
     warm(stage, 10);
