--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -35,8 +35,6 @@
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(10);
   /** The share of the time left that a part's expected stay may take, as stays scatter about it. */
   private static final double STAY_SHARE = 0.5;
-  /** A scan that needs all its parts may expect so many of them late: copies can still mend that. */
-  private static final double LATE_PARTS = 1.5;
   /**
    * The fleet's pace is that of the last seconds, and so is a searcher's where so many answers tell it; else
    * the window of a searcher grows until they do, since at a quiet mixer they come seconds apart.
@@ -62,6 +60,8 @@
   /** The fleet's pace counts in each searcher's as so many answers, once so many tell it. */
   private static final double ANSWERS_LENT = 2;
   private static final double ANSWERS_TELLING = 10;
+  /** The fleet's pace counts in that of each zone as so many answers. */
+  private static final double ZONE_LENT = 3;
   /** How much of a pace a further own part adds to a line that it shares with others' parts. */
   private static final double OWN_SHARE = 0.5;
   /** A bench lasts some seconds, doubled each time in a row, and ends in so many parts one at a time. */
@@ -73,9 +73,8 @@
   private static final double EXTRA_SHARE = 0.1;
   /** Long enough that a scan's first trips still count when its late parts are copied. */
   private static final Duration EXTRA_WINDOW = Duration.ofSeconds(6);
-  /** A part out for so many usual stays is late: few that come by themselves are. A copy needs so many. */
-  private static final double LATE_STAYS = 4;
-  private static final double COPY_STAYS = 4;
+  /** A part out for so many usual stays is late: few that come by themselves are. */
+  private static final double LATE_STAYS = 3;
   /** The cold guard: its share of the rule's multiple, mixers that may take one part each at once, memory. */
   private static final double COLD_SHARE = 1;
   private static final double COLD_MIXERS = 4;
@@ -121,7 +120,10 @@
   private final Set<Searcher> active = new LinkedHashSet<>();
   private Duration surveyedAt;
   private double fleetPace;
+  private final Map<Integer, Double> zonePaces = new HashMap<>();
   private double usualGap;
+  /** Trips recalled to send their parts elsewhere, whose ends have not been told. */
+  private int moving;
   private final TimeRing warmAnswers = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing warmTime = new TimeRing(WARM_MEMORY, BUCKETS);
   private final TimeRing stays = new TimeRing(STAY_MEMORY, STAY_BUCKETS);
@@ -156,8 +158,9 @@
       Duration end, List<Part> arrived) {
     Duration now = arriving();
     Scan scan = new Scan(id, number, grades.get(gradeNumber), key, work, end);
-    scan.quoted = min(now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch)),
-        end.minus(CLOSE_MARGIN));
+    scan.fullQuoted = now.plus(scan.grade.quoted).plus(scale(work, scan.grade.quotedStretch));
+    scan.quoted = min(scan.fullQuoted, end.minus(CLOSE_MARGIN));
+    scan.due = due(scan, now);
     hold(scan, arrived, now);
     // all parts while coverage is full; under pressure the heaviest up to the coverage, never under the floor
     List<Part> selected = select(scan, arrived, now);
@@ -179,10 +182,7 @@
     // a part kept back because its searchers are too busy is refused as full by the mixer's own judgement
     settled.add(now, late);
     pressed.add(now, late);
-    // a wide scan that needs every part falls to its slowest: its work is lost and its client comes back
-    boolean hopeless = !scan.grade.partial()
-        && selected.size() * lateShare(scan.quoted.minus(now), now) > LATE_PARTS;
-    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0 && !hopeless;
+    boolean enough = placed >= least(scan) - WEIGHT_SLACK && scan.quoted.compareTo(now) > 0;
     for (Part part : selected) {
       if (enough && part.planned != null) {
         firsts.add(now, 1);
@@ -195,7 +195,7 @@
       return;
     }
     // it ends when its trips have, near its quoted time if it can be partial, or with its patience
-    wakeAt(scan.quoted.minus(ANSWER_MARGIN), () -> settle(scan));
+    wakeAt(scan.due.minus(ANSWER_MARGIN), () -> settle(scan));
     wakeAt(scan.quoted, () -> quotedPassed(scan));
     wakeAt(scan.end.minus(CLOSE_MARGIN), () -> patienceEnds(scan));
   }
@@ -207,10 +207,12 @@
     if (scan == null) {
       return;
     }
+    scan.due = scan.quoted;
     hold(scan, arrived, now);
     for (Part part : arrived) {
       firsts.add(now, 1);
-      if (plan(part, now)) {
+      // the first step's work is done and lost without it: a holder that may be late is better than none
+      if (plan(part, now) || plan(part, now, each -> true, Duration.ofNanos(Long.MAX_VALUE))) {
         send(part, now);
       }
       unplan(part);
@@ -218,6 +220,20 @@
     settle(scan);
   }
 
+  /**
+   * By when the first step is to be answered. Where a second one follows, that is early enough for its parts
+   * to be late by what parts stayed of late, and half of the time at the earliest. Guards against a first
+   * step that waits for its last part until no time is left for the second, and all its work is lost.
+   */
+  private Duration due(Scan scan, Duration now) {
+    if (scan.grade.fetch == 0) {
+      return scan.quoted;
+    }
+    double half = Math.max(0, scan.quoted.minus(now).toNanos() / 2.0);
+    double stay = usualStay(now);
+    return scan.quoted.minusNanos((long) (stay == 0 ? half : Math.min(half, LATE_STAYS * stay)));
+  }
+
   private void hold(Scan scan, List<Part> arrived, Duration now) {
     scans.put(scan.id, scan);
     scansByNumber.put(scan.number, scan);
@@ -231,11 +247,17 @@
 
   /**
    * The parts to send: down to the coverage, with room above the floor by what stays of late let expect. A
-   * scan of just its floor falls to a single late part, and all its work is lost.
+   * scan of just its floor falls to a single late part, and all its work is lost. Where the pressure's window
+   * holds too little to tell, the usual stay stands in: from half of what the gate on stays lets through, the
+   * coverage narrows until the gate shuts. Guards against jams that a mixer of few scans would meet with all
+   * its parts each time; on old news it leaves parts behind for nothing.
    */
   private List<Part> select(Scan scan, List<Part> arrived, Duration now) {
-    double late = lateShare(scan.quoted.minus(now), now);
-    double target = Math.max(coverage, least(scan) * HEADROOM / (1 - late));
+    Duration left = scan.quoted.minus(now);
+    double stood = settled.sum(now) >= ANSWERS_TELLING ? 0
+        : usualStay(now) / (STAY_SHARE * Math.max(1, left.toNanos()));
+    double target = Math.max(Math.min(coverage, 2 - 2 * stood),
+        least(scan) * HEADROOM / (1 - lateShare(left, now)));
     if (target >= 1) {
       return arrived;
     }
@@ -258,8 +280,8 @@
   }
 
   /**
-   * The replica with fewest own parts out, ties from its home on: of the preferred ones, else of all trusted, a
-   * benched one only where no other can.
+   * The replica with fewest own parts out, ties from its home on: of the preferred ones, else of all trusted,
+   * a benched one only where no other can.
    */
   private boolean plan(Part part, Duration now) {
     if (!plan(part, now, preferred) && !plan(part, now, Mixer::usable)) {
@@ -272,14 +294,27 @@
   }
 
   private boolean plan(Part part, Duration now, Predicate<Searcher> choice) {
+    Scan scan = part.scan;
+    Duration by = now.compareTo(scan.quoted) < 0 && !scan.secondStep ? scan.quoted : scan.end;
+    return plan(part, now, choice, by.minus(now));
+  }
+
+  private boolean plan(Part part, Duration now, Predicate<Searcher> choice, Duration left) {
     List<Searcher> holders = roster.holders(part.shard);
     int home = home(part, Math.max(1, holders.size()));
-    Duration left = (now.compareTo(part.scan.quoted) < 0 ? part.scan.quoted : part.scan.end).minus(now);
+    // a client of little patience is no jam: half of the full quoted time will do if the stay fits at all.
+    // It spends work on what is often late, and that may feed a jam no longer than the gate takes to see it
+    Duration fit = scale(left, 1 / STAY_SHARE);
+    Duration room = max(left, min(fit, part.scan.fullQuoted.minus(now)));
+    // a part whose trip has failed: without another the work of the scan's other parts is lost. Guards against
+    // searchers that refuse or fail while the other holder is busy or far; may carry a jam on, in the ration
+    boolean last = !part.trips.isEmpty() && !part.out();
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
-      boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher);
+      boolean tried = part.trips.stream().anyMatch(trip -> trip.searcher == searcher)
+          || part.scan.failedAt(part.shard, searcher);
       if (!tried && choice.test(searcher) && coldRoom(searcher, now)
-          && inTime(searcher, left, now)
+          && inTime(searcher, last ? fit : room, now)
           && (part.planned == null || load(searcher, now) < load(part.planned, now))) {
         part.planned = searcher;
       }
@@ -335,16 +370,16 @@
   }
 
   /**
-   * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. The
-   * fleet's pace counts as a few answers more, so that a quiet mixer does not take one pause for slowness.
+   * Time with own parts out for each answer: what a place in its line costs, whoever else stands in it. Its
+   * zone's pace counts as a few answers more, so that a quiet mixer does not take one pause for slowness.
    */
   private Duration pace(Searcher searcher, Duration now) {
     searcher.noteBusy(now);
     survey(now);
-    double usual = fleetPace;
-    if (usual == 0) {
+    if (fleetPace == 0) {
       return Duration.ZERO;
     }
+    double usual = zonePaces.getOrDefault(searcher.listing.zone(), fleetPace);
     int back = Math.max(RECENT, searcher.answers.back(now, OWN_TELLING));
     return Duration.ofNanos((long) ((searcher.busy.sum(now, back) + ANSWERS_LENT * usual)
         / (searcher.answers.sum(now, back) + ANSWERS_LENT)));
@@ -389,7 +424,13 @@
     double usual = warmAnswers.sum(now) * tipAfter.toNanos() / seen;
     double allowed = COLD_SHARE * terms.number("Safety.TipMultiple", 1) * warmth(searcher, now) * usual;
     Duration turn = allowed > 0 ? min(coldTurn, scale(tipAfter, 1 / allowed)) : coldTurn;
-    boolean itsTurn = searcher.lastSent == null || now.minus(searcher.lastSent).compareTo(turn) > 0;
+    // the first turn at a moment of chance: all mixers hear of a start together, and they may be too many
+    if (!searcher.startedAt.equals(searcher.turnsSince)) {
+      searcher.turnsSince = searcher.startedAt;
+      double waited = terms.number("FleetSize") <= COLD_MIXERS ? 1 : chance.nextDouble();
+      searcher.lastSent = searcher.startedAt.minus(scale(turn, waited));
+    }
+    boolean itsTurn = now.minus(searcher.lastSent).compareTo(turn) > 0;
     return searcher.sends.sum(now) + searcher.plannedParts + 1 <= Math.max(itsTurn ? 1 : 0, allowed);
   }
 
@@ -417,6 +458,8 @@
       return;
     }
     Duration now = arriving();
+    moving -= part.moving ? 1 : 0;
+    part.moving = false;
     Trip trip = part.trips.get(number);
     trip.outcome = outcome;
     trip.ended = now;
@@ -444,7 +487,7 @@
     switch (trip.outcome) {
       case SUCCEEDED -> {
         searcher.answers.add(now, 1);
-        warmAnswers.add(now, cold(searcher, now) ? 0 : 1);
+        warmAnswers.add(now, trusted(searcher) && !cold(searcher, now) ? 1 : 0);
         searcher.unheard = Duration.ZERO;
         settle(trip, now, false);
         if (searcher.trialsLeft > 0) {
@@ -493,6 +536,12 @@
 
   /** What the rules say of another trip now, whatever it may be good for. */
   private boolean mayGoAgain(Part part, Duration now) {
+    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
+    return mayFollow(part, now) && (out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies"));
+  }
+
+  /** What the rules say of another trip once no more are out than may be. */
+  private boolean mayFollow(Part part, Duration now) {
     Scan scan = part.scan;
     Duration since = part.mayHaveRunSince();
     boolean harmless = switch (scan.grade.repeats) {
@@ -500,19 +549,19 @@
       case NUMBERED -> since == null || now.minus(since).compareTo(scan.grade.window) < 0;
       case AT_MOST_ONCE -> since == null;
     };
-    boolean open = !scan.closed && !part.in && !part.over && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
-    long out = part.trips.stream().filter(trip -> trip.outcome == null).count();
-    boolean place = out == 0 || out == 1 && terms.flag("PolicyLimits.SecondCopies");
+    boolean open = !scan.closed && !part.in && !part.over
+        && now.compareTo(scan.end.minus(CLOSE_MARGIN)) < 0;
     double allowed = terms.number("Safety.ExtraFree", 0)
         + terms.number("Safety.ResendRatio", 0) * rationTaken.sumWithin(now);
-    boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + 1 <= allowed;
-    return harmless && open && place && ration
+    boolean ration = !terms.has("Safety.ResendSpanMs") || rationExtras.sum(now) + moving + 1 <= allowed;
+    return harmless && open && ration
         && part.trips.size() < terms.number("PolicyLimits.MaxAttempts", 1);
   }
 
-  /** Further trips feed a jam: their number follows that of first trips. */
+  /** Further trips feed a jam: their number follows that of first trips, unless the rules set a budget. */
   private boolean withinRation(Duration now) {
-    return extras.sum(now) + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
+    return terms.has("Safety.ResendSpanMs")
+        || extras.sum(now) + moving + 1 <= EXTRA_FEW + EXTRA_SHARE * firsts.sum(now);
   }
 
   /** Answers a scan if it can be, gives it up if it can no longer be, or leaves it to wait. */
@@ -534,7 +583,7 @@
       possible += part.in || partOut ? part.weight : 0;
     }
     boolean all = in >= need - WEIGHT_SLACK;
-    boolean near = now.compareTo(scan.quoted.minus(ANSWER_MARGIN)) >= 0;
+    boolean near = now.compareTo(scan.due.minus(ANSWER_MARGIN)) >= 0;
     if (all || in >= least - WEIGHT_SLACK && (!out || near)) {
       if (!all) {
         timeOut(scan, now);
@@ -657,7 +706,12 @@
 
   /**
    * Measures what hangs on all searchers, once for each moment: the fleet's pace, the span between answers
-   * to this mixer (waits that have not ended, and may never, are left out of it).
+   * to this mixer (waits that have not ended, and may never, are left out of it), and each zone's pace as
+   * seen from here. That guards against whatever strikes a zone, or the way to it, and no single searcher:
+   * slow and lossy links, cut ways, zones that are jammed; a mixer has too few parts at each searcher to see
+   * it there. It may send too much to the other zones, whose own paces then tell. A zone that nothing is
+   * sent to is forgotten in the window, and tried again. Benched searchers are left out of it: what one bad
+   * searcher does is not its zone's.
    */
   private void survey(Duration now) {
     if (now.equals(surveyedAt)) {
@@ -667,14 +721,22 @@
     double busy = 0;
     double gaps = 0;
     double answers = 0;
+    Map<Integer, double[]> zones = new HashMap<>();
     for (Searcher searcher : active) {
       double its = searcher.busy.sum(now, RECENT);
+      double answered = searcher.answers.sum(now, RECENT);
       busy += its;
       gaps += Math.max(0, its - searcher.unheard.toNanos());
-      answers += searcher.answers.sum(now, RECENT);
+      answers += answered;
+      double[] zone = zones.computeIfAbsent(searcher.listing.zone(), each -> new double[2]);
+      zone[0] += searcher.benchedUntil == null ? its : 0;
+      zone[1] += searcher.benchedUntil == null ? answered : 0;
     }
     // too few answers tell of the start, not of the fleet: nothing is kept back on them
     fleetPace = answers < ANSWERS_TELLING ? 0 : busy / answers;
+    zonePaces.clear();
+    zones.forEach((zone, sums) ->
+        zonePaces.put(zone, (sums[0] + ZONE_LENT * fleetPace) / (sums[1] + ZONE_LENT)));
     usualGap = gaps / Math.max(1, answers);
   }
 
@@ -774,25 +836,53 @@
   }
 
   /**
-   * A part out for far longer than answered parts stayed gets a copy elsewhere, as late as a copy can well be
-   * in time: most late parts still come by themselves. Guards against whatever keeps a single answer away,
-   * when a mixer sends each searcher too little to judge it: lost answers, hung, silent, slow or pausing
-   * searchers, cut ways. It may feed a jam, hence the ration.
+   * A part out for far longer than parts usually stay gets a copy elsewhere, as late as that can well be in
+   * time or can still earn, since most late parts come by themselves; in scans of two steps sooner, by half
+   * of its step's time, as both steps hang on it. Guards against whatever keeps a single answer away, when a
+   * mixer sends each searcher too little to judge it: lost answers, hung, silent, slow or pausing searchers,
+   * such as fail one grade alone, cut ways. It may feed a jam, hence the ration.
    */
   private void copyLate(Searcher searcher, Duration now) {
     double stay = usualStay(now);
-    for (Trip trip : searcher.out) {
-      if (now.minus(trip.sent).toNanos() <= LATE_STAYS * stay) {
-        return;
-      }
+    boolean copies = terms.flag("PolicyLimits.SecondCopies");
+    for (Trip trip : List.copyOf(searcher.out)) {
       Part part = trip.part;
-      double left = part.scan.quoted.minus(now).toNanos();
-      if (part.trips.get(part.trips.size() - 1) == trip && left > 0 && left <= COPY_STAYS * stay) {
+      Scan scan = part.scan;
+      boolean twoSteps = scan.grade.fetch > 0;
+      double half = scan.due.minus(trip.sent).toNanos() / 2.0;
+      double late = stay == 0 ? half : Math.min(twoSteps ? half : Long.MAX_VALUE, LATE_STAYS * stay);
+      Duration by = now.compareTo(scan.due) < 0 || scan.grade.lateShare == 0 ? scan.due : scan.end;
+      double out = now.minus(trip.sent).toNanos();
+      double left = by.minus(now).toNanos();
+      if (part.trips.get(part.trips.size() - 1) != trip || out <= late || left <= stay) {
+        continue;
+      }
+      if (copies && (twoSteps || stay == 0 || left <= LATE_STAYS * stay + LOOK_ROUND.toNanos())) {
         sendAgain(part, now);
+      } else if (!copies && left <= stay / STAY_SHARE + LOOK_ROUND.toNanos()
+          && searcher.unheard.toNanos() >= out) {
+        move(part, now);
       }
     }
   }
 
+  /**
+   * Where no second trip may fly beside the first, a late one is recalled and its part sent elsewhere when
+   * its end is told: as late as the gate is likely to let another go, and only from a searcher that has given
+   * no word since, as what answers others will come to this one too. Guards against all that copies do, lost
+   * answers of a busy searcher left aside. It throws away a trip that may still come, and feeds a jam, hence
+   * the ration; trips that the ration or the holders would not let follow are left alone.
+   */
+  private void move(Part part, Duration now) {
+    if (terms.flag("PolicyLimits.Cancel") && !part.moving && mayFollow(part, now) && withinRation(now)
+        && plan(part, now)) {
+      part.moving = true;
+      moving++;
+      host.recall(part.id, part.trips.size() - 1);
+    }
+    unplan(part);
+  }
+
   /** The roster has been told: all of it, or what changed. */
   public void rosterTold(List<Listing> lines, boolean all) {
     Duration now = arriving();
--- a/mixer/src/test/java/gingerring/serve/ServeTest.java
+++ b/mixer/src/test/java/gingerring/serve/ServeTest.java
@@ -190,6 +190,9 @@
     // numbered: a searcher's failure may have run, and to all holders it is the same
     assertEquals(500, scan("post", "1:failed", "{\"partition\":1,\"share\":1}").status);
     // a part whose searcher breaks off, or talks nonsense, goes to the other holder
+    for (int i = 0; i < 8; i++) {
+      scan("search", "", PARTS); // the ration of further trips grows by them
+    }
     assertEquals(200, scan("search", "0:once-reset", PARTS).status);
     Answer again = scan("search", "1:once-junk", PARTS);
     assertTrue(again.body.startsWith("{\"whole\":true,"), again.body);
@@ -593,6 +596,9 @@
           {config.replace("\"Places\"", "\"Other\""), "2", "setting Domain.Places is missing"},
           {config.replace("127.0.0.1:0", "localhost:1"), "2", "listen: no address"},
           {config.replace("[0, 0]", "[3, 0]"), "2", "setting Domain.ClassFetch"},
+          {config.replace("\"WarmUpMs\": 5000.0", "\"WarmUpMs\": -5000.0"), "2", "setting Safety.WarmUpMs"},
+          {config.replace("\"TipAfterMs\"", "\"ExtraFree\": 5, \"TipAfterMs\""), "2",
+              "setting Safety.ResendRatio is missing"},
           {config.replace("127.0.0.1:0", "127.0.0.1:" + taken.getLocalPort()), "1", "cannot listen"}};
       for (String[] each : unfit) {
         Child child = mixer(each[0]);
