Take no part for silence that is late by less than parts usually stay

After a quiet spell the gap between answers is measured over nothing, and the floor alone holds (`judge`). It hurts where a truly silent searcher stands in a jam: it is found later by so much.

--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -306,8 +306,9 @@
     // It spends work on what is often late, and that may feed a jam no longer than the gate takes to see it
     Duration fit = scale(left, 1 / STAY_SHARE);
     Duration room = max(left, min(fit, part.scan.fullQuoted.minus(now)));
-    // a part whose trip has failed: without another the work of the scan's other parts is lost. Guards against
-    // searchers that refuse or fail while the other holder is busy or far; may carry a jam on, in the ration
+    // a part whose trip has failed: without another the work of the scan's other parts is lost. Guards
+    // against searchers that refuse or fail while the other holder is busy or far; may carry a jam on, in the
+    // ration
     boolean last = !part.trips.isEmpty() && !part.out();
     for (int i = 0; i < holders.size(); i++) {
       Searcher searcher = holders.get((home + i) % holders.size());
@@ -814,7 +815,9 @@
     double errors = searcher.errors.sum(now, RECENT);
     double ended = errors + searcher.answers.sum(now, RECENT);
     boolean doubted = host.doubt(searcher.id) >= DOUBT;
-    double silence = Math.max(SILENCE.toNanos(), SILENCE_PACES * usualGap) * (doubted ? DOUBTED_SHARE : 1);
+    // what others are late by as well is no silence, also where too few answers came lately to tell their gap
+    double usual = Math.max(LATE_STAYS * usualStay(now), SILENCE_PACES * usualGap);
+    double silence = Math.max(SILENCE.toNanos(), usual) * (doubted ? DOUBTED_SHARE : 1);
     searcher.noteBusy(now);
     // only time with own parts out counts, and only from the last word on: a busy searcher still answers
     // now and then; and a cold one takes its time
--- a/mixer/src/test/java/gingerring/decide/MixerTest.java
+++ b/mixer/src/test/java/gingerring/decide/MixerTest.java
@@ -255,6 +255,25 @@
     assertTrue(stage.logs.size() == 1 && stage.logs.get(0).endsWith("benched: silent"), "" + stage.logs);
   }
 
+  /** Guards against benching half the fleet in a burst, after a quiet spell that left no gaps to go by. */
+  @Test void whatIsLateByTheUsualStaysIsNoSilence() {
+    Stage stage = new Stage().fleet(4);
+    for (int i = 0; i < 4; i++) {
+      int first = stage.sent.size();
+      stage.scan(i, 0.25, 0.25, 0.25, 0.25);
+      stage.pass(400);
+      for (int j = first; j < first + 4; j++) {
+        stage.end(j, Outcome.SUCCEEDED);
+      }
+    }
+    stage.pass(5000);
+    stage.scan(50, 1);
+    stage.pass(900);
+    assertEquals(List.of(), stage.benched);
+    stage.pass(500);
+    assertEquals(1, stage.benched.size());
+  }
+
   @Test void timeInWhichTheMixerStoodStillIsNoSilence() {
     Stage stage = new Stage().fleet(4);
     warm(stage, 10);
