--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -212,7 +212,10 @@
     for (Part part : arrived) {
       firsts.add(now, 1);
       // the first step's work is done and lost without it: a holder that may be late is better than none
-      if (plan(part, now) || plan(part, now, each -> true, Duration.ofNanos(Long.MAX_VALUE))) {
+      if (!plan(part, now) && plan(part, now, each -> true, Duration.ofNanos(Long.MAX_VALUE))) {
+        part.planned.plannedParts++;
+      }
+      if (part.planned != null) {
         send(part, now);
       }
       unplan(part);
@@ -326,6 +329,7 @@
   private void unplan(Part part) {
     if (part.planned != null) {
       part.planned.plannedParts--;
+      assert part.planned.plannedParts >= 0 : "a part was planned and not counted";
       part.planned = null;
     }
   }
