Go through suspects in the order in which they fell under suspicion

The set of suspects was one by identity, so its order, and with it every draw of chance after it, changed from run to run: a play of a fleet with one seed was not the same play. Seen in a whole run of the tests on a busy machine: halves that were cut (SocietyTest) left one wrongly taken for gone, once in eight runs of the same seeds, in the others none. With the order fixed the same seeds give the same play; that one order leaves somebody wrongly taken for gone stays true and rare.

--- a/peers/src/main/java/gingerring/peers/Membership.java
+++ b/peers/src/main/java/gingerring/peers/Membership.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -136,7 +137,7 @@
   private final RandomGenerator chance;
   private final Host host;
   private final NavigableMap<Long, Member> members = new TreeMap<>(Long::compareUnsigned);
-  private final Set<Member> suspects = new HashSet<>();
+  private final Set<Member> suspects = new LinkedHashSet<>();
   private final List<PeerId> order = new ArrayList<>();
   private final Spread<PeerId, Standing> spread;
   private final Map<Integer, Errand> errands = new HashMap<>();
