Give a client that waits another's idle connection, so that runs end

Cause: with twice as many connections as clients open a wish waits, and was looked at again only when another wish ended. It was then put back if the idle connections were other clients' own; after the last wish had ended nobody looked any more. A fleet run with two mixers stopped and half of all killed came to "17 wishes wait for a client's connection, with 64 of 64 open and 64 idle" and stayed there. No process was waited for: that one is stopped and killed at once was not the cause.

Change: the connection that has been idle longest makes room, and one that goes while it is idle does too. Who waits then waits only while all connections are busy, each of which has an end by its client's patience. Clients say what their open wishes wait for.

--- a/emulator/src/main/java/gingerring/emulator/run/Clients.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Clients.java
@@ -16,17 +16,22 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 
 /**
  * The clients of a run. Each wish belongs to one of the world's clients, drawn from the seed, and is asked at
  * its time on a connection of that client that is idle, or on a new one; with twice as many connections as
- * clients open, it waits. A wish that was not answered is tried again.
+ * clients open, another's that has been idle longest makes room, and where none is idle it waits for the next
+ * that ends. A wish that was not answered is tried again.
  */
 public final class Clients {
   /** Which of several mixers a client's next connection goes to, and where that one is now. */
@@ -44,7 +49,10 @@
   private final Tally tally;
   private final Retries retries;
   private final Map<Integer, Deque<Client>> idle = new HashMap<>();
+  /** All that are idle, the one idle longest first. */
+  private final Set<Client> resting = new LinkedHashSet<>();
   private final Deque<Try> waiting = new ArrayDeque<>();
+  private final Set<Client> asking = new LinkedHashSet<>();
   private final Runnable over;
   private int connections;
   private int open;
@@ -98,6 +106,9 @@
     while (client != null && !client.wire.open()) {
       client = mine.pollFirst();
     }
+    if (client == null && connections >= 2 * world.clients() && !resting.isEmpty()) {
+      resting.iterator().next().end();
+    }
     if (client == null && connections < 2 * world.clients()) {
       client = new Client(who);
     }
@@ -109,6 +120,14 @@
     }
   }
 
+  /** A connection is idle or gone: whoever waits longest is next. */
+  private void room() {
+    Try next = waiting.poll();
+    if (next != null) {
+      ask(next);
+    }
+  }
+
   private void ended(Try which, Answer answer) {
     Duration took = reactor.now().minus(which.first);
     Optional<Duration> again = answer.fate() == Seen.Fate.WHOLE || answer.fate() == Seen.Fate.PART
@@ -124,10 +143,24 @@
         over.run();
       }
     }
-    Try next = waiting.poll();
-    if (next != null) {
-      ask(next);
+    room();
+  }
+
+  /** What the wishes that have no end yet wait for, one line each party; empty once all have theirs. */
+  public List<String> waitsFor() {
+    Map<Integer, Integer> asked = new TreeMap<>();
+    asking.forEach(client -> asked.merge(client.mixer, 1, Integer::sum));
+    List<String> lines = new ArrayList<>();
+    asked.forEach((mixer, count) -> lines.add("m" + mixer + " owes " + count + " clients an answer"));
+    if (!waiting.isEmpty()) {
+      lines.add(waiting.size() + " wishes wait for a client's connection, with " + connections + " of "
+          + 2 * world.clients() + " open and " + resting.size() + " idle");
     }
+    int rest = open - asking.size() - waiting.size();
+    if (rest > 0) {
+      lines.add(rest + " wishes are to be asked later, or are asked no more");
+    }
+    return lines;
   }
 
   /** One connection, a request at a time. */
@@ -149,6 +182,8 @@
 
     void ask(Try next) {
       now = next;
+      resting.remove(this);
+      asking.add(this);
       String mine = String.format("%08x", marks++) + '-' + next.number;
       mark = mine;
       World.Grade grade = next.wish.grade();
@@ -181,15 +216,16 @@
         return;
       }
       now = null;
+      asking.remove(this);
       Answer answer = Answer.read(head, json);
       boolean served = answer.fate() == Seen.Fate.WHOLE || answer.fate() == Seen.Fate.PART;
       referee.answered(mark, reactor.now(), answer.fate() == Seen.Fate.NACKED, answer.whole(),
           served ? answer.values() : null);
       if (head.says("connection", "close")) {
-        leave();
-        wire.close();
+        end();
       } else {
         idle.get(who).addFirst(this);
+        resting.add(this);
       }
       ended(ended, answer);
     }
@@ -199,14 +235,26 @@
         gone = true;
         connections--;
         idle.get(who).remove(this);
+        resting.remove(this);
       }
     }
 
+    private void end() {
+      leave();
+      wire.close();
+    }
+
     @Override public void closed() {
+      boolean first = !gone;
       leave();
-      if (now != null) {
+      if (now == null) {
+        if (first) {
+          room();
+        }
+      } else {
         Try ended = now;
         now = null;
+        asking.remove(this);
         referee.left(mark, reactor.now());
         ended(ended, new Answer(Seen.Fate.LEFT, 0, false, Map.of(), Duration.ZERO, "its connection ended"));
       }
--- /dev/null
+++ b/emulator/src/test/java/gingerring/emulator/run/ClientsTest.java
@@ -0,0 +1,19 @@
+package gingerring.emulator.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gingerring.emulator.core.World;
+import org.junit.jupiter.api.Test;
+
+class ClientsTest {
+  /** All connections that may be were idle, other clients' own, and who waited for one waited for good. */
+  @Test void aClientThatWaitsGetsAnothersIdleConnection() throws Exception {
+    Run.Result result = Run.of(World.read("""
+        {"boxes": 4, "clients": 2, "rate": 80, "lengthMs": 2000, "retries": 0, "pauseMs": [0, 0],
+         "grades": [{"name": "search", "workMs": [40, 60]}]}""".getBytes()), Run.Router.RANDOM, 1, null);
+    assertTrue(result.tally().waited > 0, "some have to wait");
+    assertEquals(result.tally().asked, result.tally().grades.get("search").wishes.values().stream()
+        .mapToLong(Long::longValue).sum(), "each wish has its end");
+  }
+}
