Judge a part by when its mixer sent it, and book a foul on the mixer that did it

Cause: the referee was told of a part when it reached its box. No mixer had sent late.

Change: a link notes when each byte left the mixer and whose it is (Passage), and the box's line asks it. Grace, window, order of trips and the end of a scan are judged by that time; parts that came more than the slack later are counted as held. Found with it: a part that was sent before one that came before it is judged in the order of sending; a nack while an at-most-once part is held on its way is a foul; a part of another mixer's scan is a foul of its sender; the store's own view as mixer 0 told the referee of drains that a silent discovery had kept from mixer 0. A foul names its mixer; a cold box's fall the one that sent it most.

--- a/emulator/src/main/java/gingerring/emulator/core/Referee.java
+++ b/emulator/src/main/java/gingerring/emulator/core/Referee.java
@@ -3,26 +3,35 @@
 import gingerring.emulator.core.World.Grade;
 import gingerring.emulator.core.World.Repeats;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Judges the rules of a scan from outside: told of every request, answer, part and return as the stand-ins
- * see them, it says where a mixer broke one. Times allow {@link #SLACK} for the way over sockets. Scans are
- * forgotten {@link #KEPT} after their end, so that memory is bounded by the rate.
+ * see them, it says where a mixer broke one, and which. A part is judged by when it was sent, which is not
+ * when it arrives where a link holds it. Times allow {@link #SLACK} for the way over sockets. Scans are forgotten
+ * {@link #KEPT} after their end, so that memory is bounded by the rate.
  */
 public final class Referee {
   public static final Duration SLACK = Duration.ofMillis(50);
   static final Duration KEPT = Duration.ofSeconds(30);
   private static final int SHOWN_MOST = 100;
+  /** Blamed where it can't be told which mixer it was. */
+  static final int NOBODY = -1;
 
   /** The rules, and what only a mixer gone wrong does: parts that nobody asked for. */
   public enum Rule { SCAN_LOST, EFFECT_TWICE, DRAIN, COLD_BOX, HONEST_ANSWER, TRIPS, STRANGE_PART }
 
-  /** A rule broken. */
-  public record Foul(Rule rule, Duration at, String what) {}
+  /** A rule broken, and by which mixer. */
+  public record Foul(Rule rule, int mixer, Duration at, String what) {}
+
+  /** A part on its way to a box: who sent it and when. */
+  private record Load(int mixer, Duration sent) {}
 
   private static final class Scan {
     final Grade grade;
@@ -34,6 +43,7 @@
     final Map<Integer, List<Trip>> trips = new HashMap<>();
     Duration ended;
     boolean left;
+    boolean nacked;
 
     Scan(Grade grade, Map<Integer, Double> shares, String key, Duration since, Duration until, int mixer) {
       this.grade = grade;
@@ -47,17 +57,19 @@
 
   private static final class Trip {
     final int box;
-    final Duration at;
+    final Duration sent;
     String end;
+    Duration endAt;
     String value;
 
-    Trip(int box, Duration at) {
+    Trip(int box, Duration sent) {
       this.box = box;
-      this.at = at;
+      this.sent = sent;
     }
 
-    boolean neverRan() {
-      return "full".equals(end) || "unreached".equals(end);
+    /** Whether it may have run, for all that its sender could know then. */
+    boolean mayHaveRun(Duration then) {
+      return !("full".equals(end) || "unreached".equals(end)) || endAt.compareTo(then) > 0;
     }
   }
 
@@ -68,20 +80,25 @@
   /** By mixer: spans in which it was stopped, cut off or killed, and owed no answer in time. */
   private final Map<Integer, List<Duration[]>> excuses = new HashMap<>();
   private final Map<Rule, Integer> counts = new HashMap<>();
+  private final Map<Integer, Integer> blamed = new TreeMap<>();
   private final List<Foul> shown = new ArrayList<>();
+  /** By box, what came to it lately. */
+  private final Map<Integer, Deque<Load>> loads = new HashMap<>();
   private Duration swept = Duration.ZERO;
   private long trips;
   private long judged;
   private long excused;
+  private long held;
 
   public Referee(World world) {
     this.world = world;
   }
 
-  private void foul(Rule rule, Duration at, String what) {
+  private void foul(Rule rule, int mixer, Duration at, String what) {
     counts.merge(rule, 1, Integer::sum);
+    blamed.merge(mixer, 1, Integer::sum);
     if (shown.size() < SHOWN_MOST) {
-      shown.add(new Foul(rule, at, what));
+      shown.add(new Foul(rule, mixer, at, what));
     }
   }
 
@@ -132,7 +149,7 @@
     if (scan != null && scan.ended == null) {
       scan.ended = at;
       if (!excused(scan, at)) {
-        foul(Rule.SCAN_LOST, at, mark + " had no answer in its client's time");
+        foul(Rule.SCAN_LOST, scan.mixer, at, mark + " had no answer in its client's time");
       }
     }
   }
@@ -141,22 +158,23 @@
   public void answered(String mark, Duration at, boolean nacked, boolean whole, Map<Integer, String> values) {
     Scan scan = scans.get(mark);
     if (scan == null) {
-      foul(Rule.SCAN_LOST, at, mark + " was answered and not asked");
+      foul(Rule.SCAN_LOST, NOBODY, at, mark + " was answered and not asked");
       return;
     }
     if (scan.ended != null) {
       if (!scan.left) {
-        foul(Rule.SCAN_LOST, at, mark + " was answered twice");
+        foul(Rule.SCAN_LOST, scan.mixer, at, mark + " was answered twice");
       }
       return;
     }
     scan.ended = at;
     if (at.compareTo(scan.until.plus(SLACK)) > 0 && !excused(scan, at)) {
-      foul(Rule.SCAN_LOST, at, mark + " was answered after its client's time");
+      foul(Rule.SCAN_LOST, scan.mixer, at, mark + " was answered after its client's time");
     }
+    scan.nacked = nacked;
     if (nacked && scan.grade.repeats() == Repeats.AT_MOST_ONCE && scan.trips.values().stream()
-        .flatMap(List::stream).anyMatch(trip -> !trip.neverRan())) {
-      foul(Rule.EFFECT_TWICE, at, mark + " was nacked though a part may have run");
+        .flatMap(List::stream).anyMatch(trip -> trip.mayHaveRun(at))) {
+      foul(Rule.EFFECT_TWICE, scan.mixer, at, mark + " was nacked though a part may have run");
     }
     if (values != null) {
       honest(mark, scan, at, whole, values);
@@ -170,64 +188,90 @@
       boolean given = scan.trips.getOrDefault(value.getKey(), List.of()).stream()
           .anyMatch(trip -> value.getValue().equals(trip.value));
       if (share == null || !given) {
-        foul(Rule.HONEST_ANSWER, at, mark + " has a value of folio " + value.getKey() + " that no box gave");
+        foul(Rule.HONEST_ANSWER, scan.mixer, at,
+            mark + " has a value of folio " + value.getKey() + " that no box gave");
       }
       weight += share == null ? 0 : share;
     }
     double all = scan.shares.values().stream().mapToDouble(Double::doubleValue).sum();
     if (whole && values.size() < scan.shares.size()) {
-      foul(Rule.HONEST_ANSWER, at, mark + " is marked whole with " + values.size() + " of "
+      foul(Rule.HONEST_ANSWER, scan.mixer, at, mark + " is marked whole with " + values.size() + " of "
           + scan.shares.size() + " parts");
     }
     if (weight < scan.grade.floor() * all - 1e-6) {
-      foul(Rule.HONEST_ANSWER, at, mark + " is answered from " + weight + " of its weight, under the floor "
-          + scan.grade.floor());
+      foul(Rule.HONEST_ANSWER, scan.mixer, at,
+          mark + " is answered from " + weight + " of its weight, under the floor " + scan.grade.floor());
     }
   }
 
-  /** A part has arrived at a box whole. */
+  /** A part has arrived at a box whole, just when it was sent by the mixer that was asked. */
   public void part(String mark, int folio, String key, int box, Duration at) {
+    Scan scan = scans.get(mark);
+    part(scan == null ? NOBODY : scan.mixer, mark, folio, key, box, at, at);
+  }
+
+  /** A part has arrived at a box whole that a mixer had {@code sent} before. */
+  public void part(int mixer, String mark, int folio, String key, int box, Duration sent, Duration at) {
     trips++;
+    held += at.minus(sent).compareTo(SLACK) > 0 ? 1 : 0;
+    carried(mixer, box, sent);
     Scan scan = scans.get(mark);
-    if (scan == null || !scan.shares.containsKey(folio)) {
-      foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent and not asked for");
+    String what = mark + '.' + folio;
+    if (scan == null || !scan.shares.containsKey(folio) || scan.mixer != mixer) {
+      foul(Rule.STRANGE_PART, mixer, sent, what + " was sent and not asked for");
       return;
     }
     if (!world.holders(folio).contains(box)) {
-      foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent to box " + box
-          + ", which does not hold it");
+      foul(Rule.STRANGE_PART, mixer, sent, what + " was sent to box " + box + ", which does not hold it");
     }
     if (scan.key != null && scan.grade.repeats() == Repeats.NUMBERED && !scan.key.equals(key)) {
-      foul(Rule.STRANGE_PART, at, mark + '.' + folio + " was sent without its key");
+      foul(Rule.STRANGE_PART, mixer, sent, what + " was sent without its key");
     }
-    if (scan.ended != null && at.compareTo(scan.ended.plus(SLACK)) > 0 && !excused(scan, at)) {
-      foul(Rule.SCAN_LOST, at, mark + '.' + folio + " was sent after the answer");
+    if (scan.ended != null && sent.compareTo(scan.ended.plus(SLACK)) > 0 && !excused(scan, sent)) {
+      foul(Rule.SCAN_LOST, mixer, sent, what + " was sent after the answer");
     }
-    Duration since = drained.get(place(scan.mixer, box));
-    if (since != null && at.compareTo(since.plus(world.drainGrace()).plus(SLACK)) > 0 && !excused(scan, at)) {
-      foul(Rule.DRAIN, at, mark + '.' + folio + " was sent to box " + box + ", told as drained at "
+    if (scan.nacked && sent.compareTo(scan.ended) <= 0 && scan.grade.repeats() == Repeats.AT_MOST_ONCE) {
+      foul(Rule.EFFECT_TWICE, mixer, sent, mark + " was nacked though a part was on its way");
+    }
+    Duration since = drained.get(place(mixer, box));
+    if (since != null && sent.compareTo(since.plus(world.drainGrace()).plus(SLACK)) > 0
+        && !excused(scan, sent)) {
+      foul(Rule.DRAIN, mixer, sent, what + " was sent to box " + box + ", told as drained at "
           + since.toMillis() + " ms");
     }
-    List<Trip> before = scan.trips.computeIfAbsent(folio, f -> new ArrayList<>());
-    if (before.size() >= world.trips()) {
-      foul(Rule.TRIPS, at, mark + '.' + folio + " was sent " + (before.size() + 1) + " times");
+    List<Trip> others = scan.trips.computeIfAbsent(folio, f -> new ArrayList<>());
+    if (others.size() >= world.trips()) {
+      foul(Rule.TRIPS, mixer, sent, what + " was sent " + (others.size() + 1) + " times");
     }
-    for (Trip trip : before) {
-      if (!trip.neverRan() && scan.grade.repeats() == Repeats.AT_MOST_ONCE) {
-        foul(Rule.EFFECT_TWICE, at, mark + '.' + folio + " was sent again though it may have run");
-        break;
-      }
-      if (!trip.neverRan() && scan.grade.repeats() == Repeats.NUMBERED
-          && at.minus(trip.at).compareTo(scan.grade.window().plus(SLACK)) > 0) {
-        foul(Rule.EFFECT_TWICE, at, mark + '.' + folio + " was sent again after its mark was forgotten");
+    Trip mine = new Trip(box, sent);
+    for (Trip other : others) {
+      boolean late = other.sent.compareTo(sent) > 0; // sent before one that came before it
+      if (twice(scan.grade, late ? mine : other, late ? other : mine)) {
+        foul(Rule.EFFECT_TWICE, mixer, sent, what + (scan.grade.repeats() == Repeats.AT_MOST_ONCE
+            ? " was sent again though it may have run" : " was sent again after its mark was forgotten"));
         break;
       }
     }
-    before.add(new Trip(box, at));
+    others.add(mine);
+  }
+
+  /** Whether a later trip may have done what an earlier one had done. */
+  private static boolean twice(Grade grade, Trip earlier, Trip later) {
+    return earlier.mayHaveRun(later.sent) && (grade.repeats() == Repeats.AT_MOST_ONCE
+        || grade.repeats() == Repeats.NUMBERED
+        && later.sent.minus(earlier.sent).compareTo(grade.window().plus(SLACK)) > 0);
+  }
+
+  private void carried(int mixer, int box, Duration sent) {
+    Deque<Load> lately = loads.computeIfAbsent(box, b -> new ArrayDeque<>());
+    lately.add(new Load(mixer, sent));
+    while (sent.minus(lately.peek().sent).compareTo(world.tipAfter().plus(SLACK)) > 0) {
+      lately.poll();
+    }
   }
 
   /** What a box said of a part: its latest there that had no end. */
-  public void returned(String mark, int folio, int box, String end, String value) {
+  public void returned(String mark, int folio, int box, String end, String value, Duration at) {
     Scan scan = scans.get(mark);
     if (scan != null) {
       List<Trip> mine = scan.trips.getOrDefault(folio, List.of());
@@ -235,6 +279,7 @@
         Trip trip = mine.get(i);
         if (trip.box == box && trip.end == null) {
           trip.end = end;
+          trip.endAt = at;
           trip.value = value;
           return;
         }
@@ -260,8 +305,14 @@
     return (long) mixer << 32 | box;
   }
 
+  /** A box fell; blamed is the mixer that sent it most of its last parts. */
   public void fell(int box, Duration at) {
-    foul(Rule.COLD_BOX, at, "box " + box + " was pushed over while cold");
+    Map<Integer, Integer> shares = new TreeMap<>();
+    loads.getOrDefault(box, new ArrayDeque<>()).forEach(load -> shares.merge(load.mixer, 1, Integer::sum));
+    int most = shares.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey)
+        .orElse(NOBODY);
+    foul(Rule.COLD_BOX, most, at, "box " + box + " was pushed over while cold; its last parts by mixer: "
+        + shares);
   }
 
   private void sweep(Duration now) {
@@ -279,6 +330,16 @@
     return counts;
   }
 
+  /** Fouls by mixer. */
+  public Map<Integer, Integer> blamed() {
+    return blamed;
+  }
+
+  /** Parts that a link delivered more than the slack after they were sent. */
+  public long held() {
+    return held;
+  }
+
   public List<Foul> shown() {
     return shown;
   }
--- a/emulator/src/main/java/gingerring/emulator/rig/Fleet.java
+++ b/emulator/src/main/java/gingerring/emulator/rig/Fleet.java
@@ -142,7 +142,7 @@
 
   private Relay relay(int mixer, int box, InetSocketAddress target) {
     try {
-      return new Relay(reactor, target, faults[mixer][box], chance::nextDouble);
+      return new Relay(reactor, target, faults[mixer][box], chance::nextDouble, mixer, store::passes);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/emulator/src/main/java/gingerring/emulator/rig/Relay.java
+++ b/emulator/src/main/java/gingerring/emulator/rig/Relay.java
@@ -1,5 +1,6 @@
 package gingerring.emulator.rig;
 
+import gingerring.emulator.run.Passage;
 import gingerring.emulator.run.Store;
 import gingerring.traffic.wire.Reactor;
 import gingerring.traffic.wire.Wire;
@@ -12,6 +13,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -28,6 +30,24 @@
     double drip;
     /** Share of what the far side sends of which half is cut out. */
     double cutBytes;
+
+    void none() {
+      cut = false;
+      delay = Duration.ZERO;
+      drip = 0;
+      cutBytes = 0;
+    }
+
+    /** One fault more; of two of a kind the worse holds. */
+    void add(Plan.Fault fault) {
+      switch (fault.kind()) {
+        case CUT -> cut = true;
+        case DELAY -> delay = Duration.ofNanos((long) Math.max(delay.toNanos(), fault.size() * 1e6));
+        case DRIP -> drip = drip == 0 ? fault.size() : Math.min(drip, fault.size());
+        case CUT_BYTES -> cutBytes = Math.max(cutBytes, fault.size());
+        default -> { }
+      }
+    }
   }
 
   private static final int HELD_MOST = 1 << 20;
@@ -36,11 +56,17 @@
   private final InetSocketAddress target;
   private final Faults faults;
   private final DoubleSupplier draw;
+  private final int mixer;
+  private final BiConsumer<Wire, Passage> passages;
   private final Reactor.Listening listening;
   private final Set<Pair> pairs = new LinkedHashSet<>();
 
-  Relay(Reactor reactor, InetSocketAddress target, Faults faults, DoubleSupplier draw) throws IOException {
+  /** {@code passages} is told of each connection made to the far side. */
+  Relay(Reactor reactor, InetSocketAddress target, Faults faults, DoubleSupplier draw, int mixer,
+      BiConsumer<Wire, Passage> passages) throws IOException {
     this.reactor = reactor;
+    this.mixer = mixer;
+    this.passages = passages;
     this.target = target;
     this.faults = faults;
     this.draw = draw;
@@ -65,6 +91,11 @@
     }
   }
 
+  /** Bytes that came from the near side and are held. */
+  int held() {
+    return pairs.stream().mapToInt(pair -> pair.forth.size).sum();
+  }
+
   /** The cut has ended: what was held goes on. */
   void healed() {
     List.copyOf(pairs).forEach(pair -> {
@@ -79,12 +110,17 @@
     private final Wire far;
     private final Flow forth;
     private final Flow back;
+    private final Passage passage = new Passage(mixer);
 
     Pair(Wire near) {
       this.near = near;
       pairs.add(this);
       back = new Flow(near, false);
       far = reactor.dial(target, new Wire.Owner() {
+        @Override public void opened() {
+          known();
+        }
+
         @Override public void bytes(byte[] bytes, int length) {
           if (faults.cutBytes > 0 && draw.getAsDouble() < faults.cutBytes) {
             back.add(Arrays.copyOf(bytes, length / 2));
@@ -101,9 +137,18 @@
         }
       });
       forth = new Flow(far, true);
+      known();
+    }
+
+    /** The far side may ask from the first byte on; opened within the dial itself, it is known just after. */
+    private void known() {
+      if (far != null && far.open()) {
+        passages.accept(far, passage);
+      }
     }
 
     @Override public void bytes(byte[] bytes, int length) {
+      passage.took(length, reactor.now());
       forth.add(Arrays.copyOf(bytes, length));
     }
 
--- a/emulator/src/main/java/gingerring/emulator/run/Store.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Store.java
@@ -128,6 +128,8 @@
   private long linesMade;
   private int linesMost;
   private long calls;
+  /** By the ports of both its ends, what the link knows of a connection's bytes. */
+  private final Map<Long, Passage> passages = new HashMap<>();
   private final Map<String, Duration> marks = new HashMap<>();
   private Duration zero = Duration.ZERO;
   private int revision = 1;
@@ -159,14 +161,26 @@
   }
 
   /**
-   * Another mixer's sight of this store; before the reactor runs, or on its thread. Mixer 0 has one already.
+   * A mixer's sight of this store, in the place of any that it had; before the reactor runs, or on its thread.
    */
   public View view(int mixer, IntBinaryOperator way) throws IOException {
+    views.stream().filter(each -> each.mixer == mixer).forEach(each -> each.listening.close());
+    views.removeIf(each -> each.mixer == mixer);
     View view = new View(mixer, way);
     views.add(view);
     return view;
   }
 
+  /** A link tells what it knows of a connection that it makes. */
+  public void passes(Wire made, Passage passage) {
+    passages.put(ends(made.local(), made.remote()), passage);
+  }
+
+  /** One port of a machine may be the near end of connections to several far ones. */
+  private static long ends(InetSocketAddress from, InetSocketAddress to) {
+    return (long) from.getPort() << 16 | to.getPort();
+  }
+
   public static InetSocketAddress loopback(int port) {
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
@@ -416,6 +430,9 @@
     private int out;
     private Duration used = reactor.now();
     private boolean greeted;
+    /** The link that it came by; null where there is none between. */
+    private Passage passage;
+    private long read;
 
     Line(Seat seat, Wire wire) {
       this.seat = seat;
@@ -432,6 +449,9 @@
     }
 
     @Override public void bytes(byte[] bytes, int length) {
+      if (read == 0) {
+        passage = passages.get(ends(wire.remote(), wire.local()));
+      }
       kept.write(bytes, 0, length);
       ByteBuffer all = ByteBuffer.wrap(kept.toByteArray()).order(ByteOrder.LITTLE_ENDIAN);
       while (all.remaining() >= 4) {
@@ -447,6 +467,7 @@
         byte[] frame = new byte[size];
         all.position(all.position() + 4);
         all.get(frame);
+        read += 4 + size;
         frame(frame);
       }
       kept.reset();
@@ -496,7 +517,12 @@
           key = pair.startsWith("k=") ? pair.substring(2) : key;
         }
         int folio = Integer.parseInt(words[1]);
-        referee.part(mark(words[0]), folio, key, seat.box.number, reactor.now());
+        Duration now = reactor.now();
+        if (passage == null) {
+          referee.part(mark(words[0]), folio, key, seat.box.number, now);
+        } else {
+          referee.part(passage.mixer(), mark(words[0]), folio, key, seat.box.number, passage.sent(read), now);
+        }
         out++;
         Box.Part part = new Box.Part(this, words[0], folio, key, text);
         if (greeted || world.handshake().isZero()) {
@@ -524,7 +550,8 @@
       used = reactor.now();
       String value = Fate.value(world.seed(), part.text(), part.folio());
       boolean done = end.equals("done");
-      referee.returned(mark(part.id()), part.folio(), seat.box.number, end, done ? value : null);
+      referee.returned(mark(part.id()), part.folio(), seat.box.number, end, done ? value : null,
+          used);
       if (end.equals("spoilt")) {
         put("R" + part.id() + " strange 0 -\nspoilt");
       } else {
@@ -542,6 +569,7 @@
 
     @Override public void closed() {
       seat.lines.remove(this);
+      passages.values().remove(passage);
     }
   }
 
