Excuse what the referee's own standing still made late

Cause: a rig on a machine with a load of 20 on 8 cores stood still itself for up to 1.67 s, and three scans of the test of benched boxes, emulated, were booked as lost by mixers 4 and 6.

Change: whoever tells the referee says often that it runs (beat). A gap longer than the slack is a span in which no mixer owes an answer in time; the longest is told (stall). The last parts before a cold box's fall reach a second further back, so that the shares of all mixers are seen.

--- a/emulator/src/main/java/gingerring/emulator/core/Referee.java
+++ b/emulator/src/main/java/gingerring/emulator/core/Referee.java
@@ -10,17 +10,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * Judges the rules of a scan from outside: told of every request, answer, part and return as the stand-ins
  * see them, it says where a mixer broke one, and which. A part is judged by when it was sent, which is not
- * when it arrives where a link holds it. Times allow {@link #SLACK} for the way over sockets. Scans are forgotten
- * {@link #KEPT} after their end, so that memory is bounded by the rate.
+ * when it arrives where a link holds it. Times allow {@link #SLACK} for the way over sockets. Scans are
+ * forgotten {@link #KEPT} after their end, so that memory is bounded by the rate.
  */
 public final class Referee {
   public static final Duration SLACK = Duration.ofMillis(50);
   static final Duration KEPT = Duration.ofSeconds(30);
   private static final int SHOWN_MOST = 100;
+  /** How long before a box's overload what came to it still counts. */
+  private static final Duration LATELY = Duration.ofSeconds(1);
   /** Blamed where it can't be told which mixer it was. */
   static final int NOBODY = -1;
 
@@ -79,6 +82,10 @@
   private final Map<Long, Duration> drained = new HashMap<>();
   /** By mixer: spans in which it was stopped, cut off or killed, and owed no answer in time. */
   private final Map<Integer, List<Duration[]>> excuses = new HashMap<>();
+  /** Spans in which whoever tells the referee stood still, and when it last said that it runs. */
+  private final List<Duration[]> stood = new ArrayList<>();
+  private Duration beat;
+  private Duration stall = Duration.ZERO;
   private final Map<Rule, Integer> counts = new HashMap<>();
   private final Map<Integer, Integer> blamed = new TreeMap<>();
   private final List<Foul> shown = new ArrayList<>();
@@ -122,14 +129,34 @@
     excuses.computeIfAbsent(mixer, m -> new ArrayList<>()).add(new Duration[] {from, to});
   }
 
+  /**
+   * Whoever tells the referee says often that it runs itself. Where it stood still for longer than the slack,
+   * all it saw of that time is late by its own doing, and no mixer owes it.
+   */
+  public void beat(Duration now) {
+    if (beat != null && now.minus(beat).compareTo(SLACK) > 0) {
+      stood.add(new Duration[] {beat, now});
+      stall = now.minus(beat).compareTo(stall) > 0 ? now.minus(beat) : stall;
+    }
+    beat = now;
+  }
+
+  /** The longest time for which whoever tells the referee stood still; zero where it never did. */
+  public Duration stall() {
+    return stall;
+  }
+
   private boolean excused(Scan scan, Duration at) {
-    boolean excused = excuses.getOrDefault(scan.mixer, List.of()).stream()
+    if (beat != null && at.compareTo(beat) > 0) {
+      beat(at);
+    }
+    boolean excused = Stream.concat(stood.stream(), excuses.getOrDefault(scan.mixer, List.of()).stream())
         .anyMatch(span -> scan.since.compareTo(span[1]) <= 0 && at.compareTo(span[0]) >= 0);
     this.excused += excused ? 1 : 0;
     return excused;
   }
 
-  /** Scans lost or late at mixers that had been made to stand still. */
+  /** Scans lost or late while their mixers, or the rig itself, had been made to stand still. */
   public long excused() {
     return excused;
   }
@@ -265,7 +292,7 @@
   private void carried(int mixer, int box, Duration sent) {
     Deque<Load> lately = loads.computeIfAbsent(box, b -> new ArrayDeque<>());
     lately.add(new Load(mixer, sent));
-    while (sent.minus(lately.peek().sent).compareTo(world.tipAfter().plus(SLACK)) > 0) {
+    while (sent.minus(lately.peek().sent).compareTo(world.tipAfter().plus(LATELY)) > 0) {
       lately.poll();
     }
   }
--- a/emulator/src/main/java/gingerring/emulator/run/Store.java
+++ b/emulator/src/main/java/gingerring/emulator/run/Store.java
@@ -161,7 +161,8 @@
   }
 
   /**
-   * A mixer's sight of this store, in the place of any that it had; before the reactor runs, or on its thread.
+   * A mixer's sight of this store, in the place of any that it had; before the reactor runs, or on
+   * its thread.
    */
   public View view(int mixer, IntBinaryOperator way) throws IOException {
     views.stream().filter(each -> each.mixer == mixer).forEach(each -> each.listening.close());
