--- /dev/null
+++ b/duty/src/main/java/gingerring/duty/Ranks.java
@@ -0,0 +1,36 @@
+package gingerring.duty;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Who is to hold a duty, first to last, by rendezvous (Thaler and Ravishankar, IEEE/ACM Transactions on
+ * Networking 6(1), 1998): all who know the same members rank alike; a member that goes moves its own duties
+ * alone, one that comes takes only those in which it is first. O(members) for each duty.
+ */
+public final class Ranks {
+  private static final long STRIDE = 0x9E3779B97F4A7C15L;
+
+  private Ranks() {}
+
+  /** Stafford's variant 13 of the 64-bit finalizer, as in java.util.SplittableRandom. */
+  static long mix(long bits) {
+    long mixed = (bits ^ (bits >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
+  }
+
+  /** The first so many of a duty, or fewer where there are fewer members. */
+  public static List<MixerId> of(DutyName duty, Collection<MixerId> members, int first) {
+    long hash = duty.hash();
+    record Drawn(long draw, MixerId mixer) {}
+    List<Drawn> drawn = new ArrayList<>(members.size());
+    for (MixerId each : members) {
+      drawn.add(new Drawn(mix(mix(hash + STRIDE) + STRIDE * 3 + mix(each.number())), each));
+    }
+    drawn.sort(Comparator.comparingLong(Drawn::draw).thenComparing(Drawn::mixer));
+    return drawn.stream().limit(first).map(Drawn::mixer).toList();
+  }
+}
