--- a/duty/src/test/java/gingerring/duty/MutationTest.java
+++ b/duty/src/test/java/gingerring/duty/MutationTest.java
@@ -16,10 +16,10 @@
 
 /**
  * One run, recorded, and played again once for each of its letters and each way to change it, one change a
- * run. The long run plays all: {@code -Dduty.long=true}.
+ * run. The long run plays all: {@code -Dduty.every=1}.
  */
 class MutationTest {
-  private static final int EVERY = Boolean.getBoolean("duty.long") ? 1 : 97;
+  private static final int EVERY = Integer.getInteger("duty.every", 97);
   private static final int LEAVES = 22;
   private static final Rules THIN = new Rules(Duration.ofSeconds(2), Duration.ofMillis(800), 0.001,
       Duration.ofMillis(500), Duration.ofMillis(400), Duration.ofMillis(2), 3);
@@ -119,9 +119,9 @@
    * elector, the other never the first, so that all hangs on the second; holders' clocks slow, electors'
    * fast.
    */
-  private static World tight(World world) {
+  private static World tight(World world, long delayMs) {
     world.apart = true;
-    world.delay = 30 * World.MS;
+    world.delay = delayMs * World.MS;
     world.begin(0.001);
     world.nodes.forEach(each -> each.rate = each.elector == null ? 0.999 : 1.001);
     for (int[] cut : new int[][] {{3, 2}, {2, 3}, {4, 0}, {0, 4}}) {
@@ -153,8 +153,13 @@
     return world;
   }
 
+  /** The world of thin margins with slow words, unchanged. */
+  static Set<String> slow(long seed, Checks checks) {
+    return tight(world(2 * seed, checks), 190).fouls;
+  }
+
   private static World played(long seed, World world) {
-    return seed % 2 == 0 ? tight(world) : play(world);
+    return seed % 2 == 0 ? tight(world, 30) : play(world);
   }
 
   private static Set<String> end(World world) {
@@ -280,6 +285,12 @@
     return null;
   }
 
+  /** One change of the run of thin margins, by its number over all letters. */
+  static Set<String> changed(int change, Checks without) {
+    Set<String> fouls = run(2, record(2, without), change / numbers(), change % numbers(), without, false);
+    return fouls == null ? Set.of() : fouls;
+  }
+
   @Test void everyChangeOfOneLetterLeavesOneHolder() {
     int runs = 0;
     int letters = 0;
--- a/duty/src/test/java/gingerring/duty/WorldTest.java
+++ b/duty/src/test/java/gingerring/duty/WorldTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 class WorldTest {
-  private static final int WORLDS = Boolean.getBoolean("duty.long") ? 20_000 : 100;
+  private static final int WORLDS = Integer.getInteger("duty.worlds", 100);
 
   static World faulty(long seed, double drift, Checks checks) {
     int mixers = 4 + (int) (seed % 3);
