--- a/duty/src/main/java/gingerring/duty/Ranks.java
+++ b/duty/src/main/java/gingerring/duty/Ranks.java
@@ -1,5 +1,8 @@
 package gingerring.duty;
 
+import static gingerring.share.Ranks.draw;
+import static gingerring.share.Ranks.mix;
+
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -11,17 +14,8 @@
  * alone, one that comes takes only those in which it is first. O(members) for each duty.
  */
 public final class Ranks {
-  private static final long STRIDE = 0x9E3779B97F4A7C15L;
-
   private Ranks() {}
 
-  /** Stafford's variant 13 of the 64-bit finalizer, as in java.util.SplittableRandom. */
-  static long mix(long bits) {
-    long mixed = (bits ^ (bits >>> 30)) * 0xBF58476D1CE4E5B9L;
-    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-    return mixed ^ (mixed >>> 31);
-  }
-
   /** The first so many of a duty, or fewer where there are fewer members. */
   public static List<MixerId> of(DutyName duty, Collection<MixerId> members, int first) {
     long hash = duty.hash();
@@ -29,7 +23,7 @@
     Comparator<Drawn> order = Comparator.comparingLong(Drawn::draw).thenComparing(Drawn::mixer);
     List<Drawn> best = new ArrayList<>(first + 1);
     for (MixerId each : members) {
-      Drawn drawn = new Drawn(mix(mix(hash + STRIDE) + STRIDE * 3 + mix(each.number())), each);
+      Drawn drawn = new Drawn(draw(hash, mix(each.number())), each);
       if (best.size() < first || first > 0 && order.compare(drawn, best.get(first - 1)) < 0) {
         int at = best.size();
         while (at > 0 && order.compare(drawn, best.get(at - 1)) < 0) {
--- a/share/src/main/java/gingerring/share/Ranks.java
+++ b/share/src/main/java/gingerring/share/Ranks.java
@@ -5,7 +5,7 @@
  * Transactions on Networking 6(1), 1998): a draw for each pair that all who know both compute alike. When one
  * side's member comes or goes, no pair of others changes.
  */
-final class Ranks {
+public final class Ranks {
   private static final long STRIDE = 0x9E3779B97F4A7C15L;
 
   private Ranks() {}
@@ -13,14 +13,14 @@
   /**
    * Stafford's variant 13 of the 64-bit finalizer, as in java.util.SplittableRandom: every bit moves every.
    */
-  static long mix(long bits) {
+  public static long mix(long bits) {
     long mixed = (bits ^ (bits >>> 30)) * 0xBF58476D1CE4E5B9L;
     mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
     return mixed ^ (mixed >>> 31);
   }
 
   /** A draw for a pair, even over all longs. */
-  static long draw(long one, long other) {
+  public static long draw(long one, long other) {
     return mix(mix(one + STRIDE) + STRIDE * 3 + other);
   }
 
