--- a/review/standin/Burst.java
+++ b/review/standin/Burst.java
@@ -67,6 +67,7 @@
               arrivals,
               part -> {
                 Thread.sleep(WORK_MS);
+                record.line("%s: part %s done", part.searcher().name, part.id());
                 Searcher.send(part.socket(), "R" + part.id() + " done 7 queue=0\n" + value(part.id()));
               }));
     }
