--- a/review/standin/Flood.java
+++ b/review/standin/Flood.java
@@ -31,16 +31,22 @@
   private static final int GRACE_MS = 550;
   private static final int WORK_MS = 30;
 
-  /** At most a third of the 1,024 descriptors are held by clients for requests. */
-  private static final int MAX_HELD = 341;
+  /**
+   * At most a third of the 1,024 descriptors, 341, are held by clients for requests: so many by the
+   * usual ones, with a request or without, and so many by bad ones.
+   */
+  private static final int MAX_USUAL = 41;
 
-  /** The share of it that is left to the usual clients while bad ones come. */
   private static final int MAX_BAD = 300;
 
   private final Map<String, Integer> outcomes = new ConcurrentSkipListMap<>();
   private final Map<String, Integer> badOutcomes = new ConcurrentSkipListMap<>();
   private final Deque<Client> resting = new ArrayDeque<>();
-  private final AtomicInteger held = new AtomicInteger();
+  private final AtomicInteger open = new AtomicInteger();
+
+  /** Connections of usual clients, with an open request or kept for the next one. */
+  private final AtomicInteger usualHeld = new AtomicInteger();
+
   private final AtomicInteger badHeld = new AtomicInteger();
   private final AtomicInteger lost = new AtomicInteger();
 
@@ -95,15 +101,14 @@
             sendBad(mixer, record, "b" + badClients + "-" + k, k);
           }
         }
-        if (held.get() < MAX_HELD) {
-          send(mixer, record, "t" + sent, sent);
+        if (send(mixer, record, "t" + sent, sent)) {
           sent++;
         } else {
           unsent++;
         }
       }
       double last = record.seconds();
-      while (held.get() > 0 && record.seconds() - last < (REMAINING_MS + GRACE_MS) / 1000.0 + 3) {
+      while (open.get() > 0 && record.seconds() - last < (REMAINING_MS + GRACE_MS) / 1000.0 + 3) {
         Thread.sleep(20);
       }
       record.line("bad clients %d, outcomes of their requests %s", badClients, badOutcomes);
@@ -147,7 +152,7 @@
 
   /** One of the many requests of a bad client: sound, on a connection of its own. Not judged. */
   private void sendBad(Mixer mixer, Record record, String txn, int number) {
-    held.incrementAndGet();
+    open.incrementAndGet();
     badHeld.incrementAndGet();
     Searcher.daemon(
         () -> {
@@ -162,16 +167,21 @@
           record.line("bad client: %s %s, connection closed", txn, outcome);
           badOutcomes.merge(outcome, 1, Integer::sum);
           badHeld.decrementAndGet();
-          held.decrementAndGet();
+          open.decrementAndGet();
         });
   }
 
-  private void send(Mixer mixer, Record record, String txn, int number) {
+  /** Sends a request of a usual client, unless none has a connection free for it. */
+  private boolean send(Mixer mixer, Record record, String txn, int number) {
     Client rested;
     synchronized (resting) {
       rested = resting.poll();
     }
-    held.incrementAndGet();
+    if (rested == null && usualHeld.incrementAndGet() > MAX_USUAL) {
+      usualHeld.decrementAndGet();
+      return false;
+    }
+    open.incrementAndGet();
     Searcher.daemon(
         () -> {
           String outcome = null;
@@ -181,24 +191,29 @@
           }
           record.line("client: %s %s", txn, outcome);
           outcomes.merge(outcome, 1, Integer::sum);
-          held.decrementAndGet();
+          open.decrementAndGet();
         });
+    return true;
   }
 
   /** Sends a request and returns its outcome; null if it is to be sent once more. */
   private String ask(
-      Client kept, Mixer mixer, Record record, String txn, int[] shards, boolean last) {
-    Client client;
+      Client kept, Mixer mixer, Record record, String txn, int[] shards, boolean last)
+      throws IOException {
+    Client client = kept;
     try {
       client = kept == null ? new Client(mixer.port) : kept;
       client.write(request(txn, shards));
     } catch (IOException e) {
+      close(client, last);
       return last ? "not taken: " + e.getMessage() : null; // its last byte was not written
     }
     record.line("client: %s sent, shards %d and %d", txn, shards[0], shards[1]);
     try {
       Client.Answer answer = client.read(REMAINING_MS + GRACE_MS);
-      if (!answer.closes()) {
+      if (answer.closes()) {
+        close(client, true);
+      } else {
         synchronized (resting) {
           resting.push(client);
         }
@@ -206,10 +221,22 @@
       return "" + answer.status();
     } catch (java.net.SocketTimeoutException e) {
       lost.incrementAndGet();
+      close(client, true);
       return "no answer: " + e.getMessage();
     } catch (IOException e) {
+      close(client, last);
       // New connections may be shut unread while descriptors run short, so this one is not judged.
       return last ? "closed: " + e.getMessage() : null;
     }
   }
+
+  /** Closes a connection; {@code leaves}: no other one takes its place. */
+  private void close(Client client, boolean leaves) throws IOException {
+    if (client != null) {
+      client.close();
+    }
+    if (leaves) {
+      usualHeld.decrementAndGet();
+    }
+  }
 }
