Cancel the timers of answered scans and ended trips, which filled the heap

Cause: the loop's timers could not be cancelled. The one at a scan's deadline referred to the scan, its request, values and its client's closed connection with all buffers, those of trips to the trips; all stayed up to the deadline, 10 s here, however soon the scan was answered. MostHeld bounds open scans only.

Evidence: a heap dump at the first OutOfMemoryError has 71.4 MB reachable (3,612 OpenScan, 3,198 ClientConnection, 17,121 timers), and 9.1 MB (15 OpenScan, 73 ClientConnection) if the loop's timers are left out of the walk. Left out instead, the remembered transaction ids account for 0.3 MB.

Change: LoopTimer.schedule returns a ScheduledTask whose cancel takes it out of the loop's ordered set. The timers of a scan, trip or dial are cancelled when it ends, in the decision module too (Host.cancelTimer; the simulator's host lets them fire, and they do nothing, as before). On the same path, a scan whose trips stay in flight drops request, values and client at its answer, and a trip its query once written. The status line adds timers and the heap used.

--- a/mixer/src/main/java/gingerring/backend/Backend.java
+++ b/mixer/src/main/java/gingerring/backend/Backend.java
@@ -6,6 +6,7 @@
 import gingerring.net.Counters;
 import gingerring.net.LoopTimer;
 import gingerring.net.Network;
+import gingerring.net.ScheduledTask;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.LinkedHashSet;
@@ -113,14 +114,14 @@
     }
     trip.queuedAt = now();
     pool.send(trip);
-    clock.schedule(
-        trip.deadline.minus(now()),
-        () -> {
-          if (!cancelIfUnsent(trip) && !trip.ended) {
-            trip.connection.tripTimedOut(trip);
-            tripEnded(trip, Outcome.TIMED_OUT);
-          }
-        });
+    trip.deadlineTimer = clock.schedule(trip.deadline.minus(now()), () -> timeOut(trip));
+  }
+
+  private void timeOut(OutboundTrip trip) {
+    if (!cancelIfUnsent(trip) && !trip.ended) {
+      trip.connection.tripTimedOut(trip);
+      tripEnded(trip, Outcome.TIMED_OUT);
+    }
   }
 
   /**
@@ -194,6 +195,7 @@
   void tripEnded(OutboundTrip trip, Outcome outcome, float[] load, byte[] value) {
     if (!trip.ended) {
       trip.ended = true;
+      trip.cancelTimers();
       if (trip.pool != null) {
         trip.pool.removeWaiting(trip);
       }
@@ -237,8 +239,8 @@
     return clock.now();
   }
 
-  void schedule(Duration delay, Runnable task) {
-    clock.schedule(delay, task);
+  ScheduledTask schedule(Duration delay, Runnable task) {
+    return clock.schedule(delay, task);
   }
 
   LoadReportParser loadReportParser() {
--- a/mixer/src/main/java/gingerring/backend/ConnectionPool.java
+++ b/mixer/src/main/java/gingerring/backend/ConnectionPool.java
@@ -101,25 +101,25 @@
    * searcher reads from none.
    */
   private void failUnlessConnected(OutboundTrip trip) {
-    backend.schedule(
-        backend.dialTimeout(),
-        () -> {
-          if (waiting.contains(trip)) {
-            List.copyOf(connections).stream()
-                .filter(SearcherConnection::writeStalled)
-                .forEach(SearcherConnection::retire);
-            if (connections.stream().anyMatch(SearcherConnection::connected)) {
-              failUnlessConnected(trip);
-            } else {
-              backend.tripEnded(trip, Outcome.UNREACHABLE);
-            }
-          }
-        });
+    trip.connectTimer =
+        backend.schedule(
+            backend.dialTimeout(),
+            () -> {
+              List.copyOf(connections).stream()
+                  .filter(SearcherConnection::writeStalled)
+                  .forEach(SearcherConnection::retire);
+              if (connections.stream().anyMatch(SearcherConnection::connected)) {
+                failUnlessConnected(trip);
+              } else {
+                backend.tripEnded(trip, Outcome.UNREACHABLE);
+              }
+            });
   }
 
   /** Removes a trip that has been written or has ended. */
   void removeWaiting(OutboundTrip trip) {
     waiting.remove(trip);
+    trip.cancelConnectTimer();
   }
 
   /**
--- a/mixer/src/main/java/gingerring/backend/OutboundTrip.java
+++ b/mixer/src/main/java/gingerring/backend/OutboundTrip.java
@@ -2,6 +2,7 @@
 
 import gingerring.decide.PartId;
 import gingerring.decide.SearcherId;
+import gingerring.net.ScheduledTask;
 import java.time.Duration;
 
 /** A trip on the network side: one attempt to have a part answered by a searcher. */
@@ -15,7 +16,10 @@
 
   final int shard;
   final String idempotencyKey;
-  final byte[] queryText;
+
+  /** The text to send; null once the frame is written. */
+  byte[] queryText;
+
   final Duration deadline;
 
   /**
@@ -36,6 +40,13 @@
   long frameEndPosition = -1;
 
   SearcherConnection connection;
+
+  /** Ends the trip as unreachable if it finds no connection in time; null before it waits. */
+  ScheduledTask connectTimer;
+
+  /** Ends the trip as timed out at its deadline; null before it is queued. */
+  ScheduledTask deadlineTimer;
+
   boolean ended;
 
   public OutboundTrip(
@@ -83,6 +94,32 @@
     return frameEndPosition >= 0;
   }
 
+  /**
+   * Records where the trip's frame ends in all output of its connection, and drops the text that
+   * the frame contains: a trip may stay in flight until its deadline.
+   */
+  void frameWritten(long endPosition) {
+    frameEndPosition = endPosition;
+    queryText = null;
+  }
+
+  /** Cancels the timers of a trip that has ended. */
+  void cancelTimers() {
+    cancel(connectTimer);
+    cancel(deadlineTimer);
+  }
+
+  /** Cancels the timer of a trip that no longer waits for a connection. */
+  void cancelConnectTimer() {
+    cancel(connectTimer);
+  }
+
+  private static void cancel(ScheduledTask timer) {
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+
   /**
    * Lowers the latest time to begin, since another trip for the same part may begin in the
    * meantime.
--- a/mixer/src/main/java/gingerring/backend/SearcherConnection.java
+++ b/mixer/src/main/java/gingerring/backend/SearcherConnection.java
@@ -3,6 +3,7 @@
 import gingerring.decide.Outcome;
 import gingerring.net.Connection;
 import gingerring.net.ConnectionHandler;
+import gingerring.net.ScheduledTask;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
@@ -62,6 +63,9 @@
    */
   private boolean dialOverdue;
 
+  /** Sets {@link #dialOverdue}. */
+  private final ScheduledTask dialTimer;
+
   /** Whether no new frames are sent here; the connection is closed once nothing is in flight. */
   private boolean retired;
 
@@ -83,12 +87,13 @@
     lastUsedAt = dialledAt;
     lastReadAt = dialledAt;
     connection = backend.network().dial(pool.address(), Backend.OUTPUT_BUFFER_BYTES, this);
-    backend.schedule(
-        backend.dialTimeout(),
-        () -> {
-          dialOverdue = true;
-          backend.scheduleDispatch(pool);
-        });
+    dialTimer =
+        backend.schedule(
+            backend.dialTimeout(),
+            () -> {
+              dialOverdue = true;
+              backend.scheduleDispatch(pool);
+            });
   }
 
   boolean connected() {
@@ -214,7 +219,7 @@
     if (writeFrame(FrameCodec.encodeCall(batch, backend.now()))) {
       for (OutboundTrip trip : batch) {
         backend.counts().checkInvariant(!trip.written(), "a trip begins once");
-        trip.frameEndPosition = connection.output.totalBytesPut();
+        trip.frameWritten(connection.output.totalBytesPut());
         pool.removeWaiting(trip);
       }
     } else if (batch.size() > 1) {
@@ -438,6 +443,7 @@
 
   /** Ends all trips and probes in flight. A trip whose frame was sent in full may have run. */
   private void endTripsAndProbes(long bytesWritten) {
+    dialTimer.cancel();
     pool.connectionClosed(this);
     for (OutboundTrip trip : new ArrayList<>(tripsInFlight.values())) {
       backend.tripEnded(
--- a/mixer/src/main/java/gingerring/decide/Host.java
+++ b/mixer/src/main/java/gingerring/decide/Host.java
@@ -48,6 +48,12 @@
 
   void startTimer(Duration delay, TimerId timer);
 
+  /**
+   * Releases a timer that is no longer needed; no effect on one that has fired. A host that cannot
+   * cancel may let the timer fire, which the mixer then ignores.
+   */
+  default void cancelTimer(TimerId timer) {}
+
   void log(String line);
 
   /**
--- a/mixer/src/main/java/gingerring/decide/Mixer.java
+++ b/mixer/src/main/java/gingerring/decide/Mixer.java
@@ -340,9 +340,10 @@
     }
     // The scan ends with its last trip, or near the latency target if it can be answered partially,
     // or at the deadline.
-    startTimerAt(scan.stepDeadline.minus(PARTIAL_ANSWER_MARGIN), () -> completeIfPossible(scan));
-    startTimerAt(scan.latencyTarget, () -> onLatencyTarget(scan));
-    startTimerAt(scan.deadline.minus(DEADLINE_MARGIN), () -> onDeadline(scan));
+    startScanTimer(
+        scan, scan.stepDeadline.minus(PARTIAL_ANSWER_MARGIN), () -> completeIfPossible(scan));
+    startScanTimer(scan, scan.latencyTarget, () -> onLatencyTarget(scan));
+    startScanTimer(scan, scan.deadline.minus(DEADLINE_MARGIN), () -> onDeadline(scan));
   }
 
   /** Handles the arrival of the second step's parts. All of them are needed, so all are sent. */
@@ -922,6 +923,7 @@
     scan.closed = true;
     scans.remove(scan.id);
     scansByNumber.remove(scan.number, scan);
+    scan.timers.stream().filter(id -> timers.remove(id) != null).forEach(host::cancelTimer);
     for (Part part : scan.parts) {
       part.trips.forEach(trip -> recordServiceTime(trip, host.now()));
       cancelTrips(part);
@@ -1289,14 +1291,16 @@
     }
   }
 
-  private void startTimerAt(Duration time, Runnable task) {
-    startTimer(max(Duration.ZERO, time.minus(host.now())), task);
+  /** Starts a timer that is cancelled when the scan closes. */
+  private void startScanTimer(Scan scan, Duration time, Runnable task) {
+    scan.timers.add(startTimer(max(Duration.ZERO, time.minus(host.now())), task));
   }
 
-  private void startTimer(Duration delay, Runnable task) {
+  private TimerId startTimer(Duration delay, Runnable task) {
     TimerId id = new TimerId(timerCount++);
     timers.put(id, task);
     host.startTimer(delay, id);
+    return id;
   }
 
   private void log(String line) {
--- a/mixer/src/main/java/gingerring/decide/Scan.java
+++ b/mixer/src/main/java/gingerring/decide/Scan.java
@@ -17,6 +17,9 @@
 
   public final List<Part> parts = new ArrayList<>();
 
+  /** The timers of this scan, cancelled when it closes. */
+  final List<TimerId> timers = new ArrayList<>();
+
   /**
    * The time by which the client should have its answer: {@link #fullLatencyTarget}, or shortly
    * before the client's deadline if that is earlier.
--- a/mixer/src/main/java/gingerring/net/LoopTimer.java
+++ b/mixer/src/main/java/gingerring/net/LoopTimer.java
@@ -9,6 +9,10 @@
    */
   Duration now();
 
-  /** Runs a task on the loop's thread after a delay. */
-  void schedule(Duration delay, Runnable task);
+  /**
+   * Runs a task on the loop's thread after a delay. The loop refers to the task, and so to all that
+   * the task refers to, until it has run or is cancelled: a task that is no longer needed before a
+   * long delay has passed has to be cancelled.
+   */
+  ScheduledTask schedule(Duration delay, Runnable task);
 }
--- a/mixer/src/main/java/gingerring/server/EventLoop.java
+++ b/mixer/src/main/java/gingerring/server/EventLoop.java
@@ -3,11 +3,12 @@
 import gingerring.net.Counters;
 import gingerring.net.EventQueue;
 import gingerring.net.LoopTimer;
+import gingerring.net.ScheduledTask;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -19,12 +20,28 @@
  * that are ready, passes them to the mixer together, and then carries out what the mixer decided.
  */
 final class EventLoop implements EventQueue, LoopTimer {
-  private record Timer(Duration dueAt, long sequence, Runnable task) implements Comparable<Timer> {
+  /** A task in {@link #timers}, ordered by due time and then by the order of scheduling. */
+  private final class Timer implements Comparable<Timer>, ScheduledTask {
+    private final Duration dueAt;
+    private final long sequence;
+    private final Runnable task;
+
+    Timer(Duration dueAt, long sequence, Runnable task) {
+      this.dueAt = dueAt;
+      this.sequence = sequence;
+      this.task = task;
+    }
+
     @Override
     public int compareTo(Timer other) {
       int byTime = dueAt.compareTo(other.dueAt);
       return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
     }
+
+    @Override
+    public void cancel() {
+      timers.remove(this);
+    }
   }
 
   private static final Logger LOG = LoggerFactory.getLogger("gingerring.loop");
@@ -45,7 +62,9 @@
   /** The thread of the loop while it is parked or about to park, else null. */
   private volatile Thread parkedThread;
 
-  private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+  /** The scheduled tasks that have neither run nor been cancelled. */
+  private final TreeSet<Timer> timers = new TreeSet<>();
+
   private List<Runnable> notifications = new ArrayList<>();
   private List<Runnable> lastNotifications = new ArrayList<>();
   private Duration turnTime = Duration.ZERO;
@@ -78,11 +97,18 @@
   }
 
   @Override
-  public void schedule(Duration span, Runnable task) {
+  public ScheduledTask schedule(Duration span, Runnable task) {
     counts.checkInvariant(
         owner == null || owner == Thread.currentThread(),
         "wakes are asked for on the loop's thread");
-    timers.add(new Timer(now().plus(span), timerCount++, task));
+    Timer timer = new Timer(now().plus(span), timerCount++, task);
+    timers.add(timer);
+    return timer;
+  }
+
+  /** Returns the number of scheduled tasks that have neither run nor been cancelled. */
+  int scheduledTaskCount() {
+    return timers.size();
   }
 
   /**
@@ -118,8 +144,8 @@
       turnTime = currentTime();
       events.forEach(event -> runGuarded("an event", event));
       events.clear();
-      while (!timers.isEmpty() && timers.peek().dueAt.compareTo(turnTime) <= 0) {
-        runGuarded("a wake", timers.poll().task);
+      while (!timers.isEmpty() && timers.first().dueAt.compareTo(turnTime) <= 0) {
+        runGuarded("a wake", timers.pollFirst().task);
       }
       List<Runnable> turnNotifications = notifications;
       notifications = new ArrayList<>();
@@ -142,7 +168,7 @@
             ? 0
             : timers.isEmpty()
                 ? TimeUnit.SECONDS.toNanos(1)
-                : timers.peek().dueAt.minus(currentTime()).toNanos();
+                : timers.first().dueAt.minus(currentTime()).toNanos();
     if (waitNanos > 0) {
       parkedThread = owner;
       if (eventQueue
--- a/mixer/src/main/java/gingerring/server/MixerHost.java
+++ b/mixer/src/main/java/gingerring/server/MixerHost.java
@@ -19,6 +19,7 @@
 import gingerring.frontend.ScanRequest;
 import gingerring.frontend.ScanResponder;
 import gingerring.net.Counters;
+import gingerring.net.ScheduledTask;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,13 +40,21 @@
  * decisions.
  */
 final class MixerHost implements Host, ScanHandler, BackendListener, DiscoveryWatch.Listener {
-  /** A scan that has not yet had its final response. */
+  /** A scan that has not yet had its final response, or that has trips which have not ended. */
   private static final class OpenScan {
     final ScanId id;
-    final ScanRequest request;
     final Duration deadline;
-    final ScanResponder responder;
     final List<OpenPart> parts = new ArrayList<>();
+
+    /** What the client sent; null once the scan is answered. */
+    ScanRequest request;
+
+    /** The client's connection; null once the scan is answered. */
+    ScanResponder responder;
+
+    /** Fails the scan at its deadline. */
+    ScheduledTask overdueTimer;
+
     boolean answered;
 
     OpenScan(ScanId id, ScanRequest request, Duration deadline, ScanResponder responder) {
@@ -54,6 +63,18 @@
       this.deadline = deadline;
       this.responder = responder;
     }
+
+    /**
+     * Drops what only the answer needs. The scan itself stays as long as one of its trips does,
+     * which may be until the deadline; the client's connection and the values would take much more
+     * memory than the scans that are still open.
+     */
+    void releaseAfterAnswer() {
+      overdueTimer.cancel();
+      request = null;
+      responder = null;
+      parts.forEach(part -> part.value = null);
+    }
   }
 
   /**
@@ -102,6 +123,10 @@
   private final Map<ScanResponder, OpenScan> scansByResponder = new IdentityHashMap<>();
   private final Map<String, SearcherId> searcherIds = new HashMap<>();
   private final Map<SearcherId, MemberEntry> listedMembers = new HashMap<>();
+
+  /** The mixer's timers that have neither fired nor been cancelled. */
+  private final Map<TimerId, ScheduledTask> mixerTimers = new HashMap<>();
+
   private long nextId;
   private int heldCount;
   private Mixer mixer;
@@ -220,7 +245,8 @@
     scansByResponder.put(responder, scan);
     counts.add("scans taken", 1);
     // whatever the mixer does, the scan is answered by its client's deadline
-    loop.schedule(scan.deadline.minus(now()), () -> loop.notifyMixer(() -> failOverdue(scan)));
+    scan.overdueTimer =
+        loop.schedule(scan.deadline.minus(now()), () -> loop.notifyMixer(() -> failOverdue(scan)));
     Runnable arrival =
         () -> {
           if (!scan.answered) {
@@ -291,6 +317,7 @@
         heldCount >= 0 && openScans.isEmpty() == (heldCount == 0), "what is held is what is open");
     scan.parts.forEach(this::cancelUnsentTrips);
     scan.parts.forEach(this::removeIfFinished);
+    scan.releaseAfterAnswer();
   }
 
   /**
@@ -496,21 +523,21 @@
     if (part != null && deadline.compareTo(part.scan.deadline) > 0) {
       deadline = part.scan.deadline;
     }
-    ScanRequest request = part == null ? null : part.scan.request;
+    boolean scanOver = part == null || part.scan.answered;
+    ScanRequest request = scanOver ? null : part.scan.request;
     OutboundTrip trip =
         new OutboundTrip(
             partId,
             tripNumber,
             searcher,
-            part == null ? "" : request.transactionId() + '.' + part.shard,
-            part == null ? 0 : part.shard,
-            part == null ? null : request.idempotencyKey(),
-            part == null ? null : request.queryText(),
+            scanOver ? "" : request.transactionId() + '.' + part.shard,
+            scanOver ? 0 : part.shard,
+            scanOver ? null : request.idempotencyKey(),
+            scanOver ? null : request.queryText(),
             deadline,
             startWithin == null ? null : now().plus(startWithin));
     boolean partOver =
-        part == null
-            || part.scan.answered
+        scanOver
             || part.value != null
             || part.trips.size() >= maxTripsPerPart
             || deadline.compareTo(now()) <= 0;
@@ -633,7 +660,22 @@
 
   @Override
   public void startTimer(Duration span, TimerId wake) {
-    loop.schedule(span, () -> loop.notifyMixer(() -> mixer.timerFired(wake)));
+    mixerTimers.put(
+        wake,
+        loop.schedule(
+            span,
+            () -> {
+              mixerTimers.remove(wake);
+              loop.notifyMixer(() -> mixer.timerFired(wake));
+            }));
+  }
+
+  @Override
+  public void cancelTimer(TimerId timer) {
+    ScheduledTask task = mixerTimers.remove(timer);
+    if (task != null) {
+      task.cancel();
+    }
   }
 
   @Override
--- a/mixer/src/main/java/gingerring/server/MixerServer.java
+++ b/mixer/src/main/java/gingerring/server/MixerServer.java
@@ -4,8 +4,10 @@
 import gingerring.decide.Settings;
 import gingerring.discovery.DiscoveryWatch;
 import gingerring.frontend.Frontend;
+import gingerring.frontend.ScanHandler;
 import gingerring.net.Counters;
 import gingerring.net.Network;
+import gingerring.net.ScheduledTask;
 import gingerring.net.TrafficListener;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -225,11 +227,13 @@
         STATUS_INTERVAL,
         () -> {
           LOG.info(
-              "{} scans open, {} clients, {} connections; counts: {}",
+              "{} scans open, {} clients, {} connections; counts: {}; {} timers, {} MB of heap used",
               host.openScanCount(),
               frontend.clientCount(),
               network.connectionCount(),
-              counts);
+              counts,
+              loop.scheduledTaskCount(),
+              usedHeapMegabytes());
           if (peers != null) {
             LOG.info("{}", peers.statusLine());
           }
@@ -237,6 +241,12 @@
         });
   }
 
+  /** Returns the size of the heap that is used, garbage that was not collected yet included. */
+  private static long usedHeapMegabytes() {
+    Runtime runtime = Runtime.getRuntime();
+    return (runtime.totalMemory() - runtime.freeMemory()) >> 20;
+  }
+
   /** Handles SIGTERM: waits until the event loop has ended, then halts the process with code 0. */
   private void shutDownAndHalt() {
     loop.post(this::beginShutdown);
@@ -301,6 +311,11 @@
     return network;
   }
 
+  /** Returns what the frontend passes scans to. */
+  ScanHandler scanHandler() {
+    return host;
+  }
+
   /**
    * Closes the sockets and threads of a mixer that runs inside another process; a mixer's own
    * process leaves them to the system.
@@ -355,8 +370,8 @@
     }
 
     @Override
-    public void schedule(Duration span, Runnable task) {
-      loop.schedule(span, task);
+    public ScheduledTask schedule(Duration span, Runnable task) {
+      return loop.schedule(span, task);
     }
 
     @Override
--- a/mixer/src/test/java/gingerring/server/DiscoveryWatchTest.java
+++ b/mixer/src/test/java/gingerring/server/DiscoveryWatchTest.java
@@ -9,6 +9,7 @@
 import gingerring.net.Counters;
 import gingerring.net.LoopTimer;
 import gingerring.net.Network;
+import gingerring.net.ScheduledTask;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -54,8 +55,8 @@
     }
 
     @Override
-    public void schedule(Duration span, Runnable task) {
-      loop.schedule(span.dividedBy(CLOCK_SPEEDUP), task);
+    public ScheduledTask schedule(Duration span, Runnable task) {
+      return loop.schedule(span.dividedBy(CLOCK_SPEEDUP), task);
     }
   }
 
--- a/mixer/src/test/java/gingerring/server/SearcherCloseRaceTest.java
+++ b/mixer/src/test/java/gingerring/server/SearcherCloseRaceTest.java
@@ -14,6 +14,7 @@
 import gingerring.net.EventQueue;
 import gingerring.net.LoopTimer;
 import gingerring.net.Network;
+import gingerring.net.ScheduledTask;
 import gingerring.net.TrafficListener;
 import java.io.Closeable;
 import java.io.IOException;
@@ -478,8 +479,10 @@
     }
 
     @Override
-    public void schedule(Duration delay, Runnable task) {
-      timers.add(new Timer(now.plus(delay), timerCount++, task));
+    public ScheduledTask schedule(Duration delay, Runnable task) {
+      Timer timer = new Timer(now.plus(delay), timerCount++, task);
+      timers.add(timer);
+      return () -> timers.remove(timer);
     }
   }
 
--- a/mixer/src/test/java/gingerring/server/WatchHarness.java
+++ b/mixer/src/test/java/gingerring/server/WatchHarness.java
@@ -6,6 +6,7 @@
 import gingerring.net.Counters;
 import gingerring.net.LoopTimer;
 import gingerring.net.Network;
+import gingerring.net.ScheduledTask;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -44,8 +45,10 @@
     }
 
     @Override
-    public void schedule(Duration delay, Runnable task) {
-      timers.add(new Timer(now.plus(delay), timerCount++, task));
+    public ScheduledTask schedule(Duration delay, Runnable task) {
+      Timer timer = new Timer(now.plus(delay), timerCount++, task);
+      timers.add(timer);
+      return () -> timers.remove(timer);
     }
 
     private void advance(Duration duration) {
--- a/peering/src/test/java/gingerring/peering/PeeringTest.java
+++ b/peering/src/test/java/gingerring/peering/PeeringTest.java
@@ -8,6 +8,7 @@
 import gingerring.decide.MemberEntry;
 import gingerring.decide.Outcome;
 import gingerring.decide.SearcherId;
+import gingerring.net.ScheduledTask;
 import gingerring.peers.Membership;
 import gingerring.peers.PeerId;
 import gingerring.peers.PeerNode;
@@ -23,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -154,10 +156,12 @@
     }
 
     @Override
-    public void schedule(Duration delay, Runnable task) {
-      if (!loop.isShutdown()) {
-        loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    public ScheduledTask schedule(Duration delay, Runnable task) {
+      if (loop.isShutdown()) {
+        return () -> {};
       }
+      Future<?> future = loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+      return () -> future.cancel(false);
     }
 
     @Override
