End the process when its event loop or a network thread has ended

Cause: an error outside the loop's guarded tasks, or in logging such a task's failure, ends the loop's thread; the shutdown hook then waits for a signal that nobody gives. MINA's threads end by any Error and are not replaced, and the loop went on without a network.

Change: if one of these threads ends by an exception or error, the process logs which and halts with exit code 1, so that its clients' connections end and it can be started anew. The flag ExitOnOutOfMemoryError was weighed and not taken: it ends the process also where one guarded task fails and all others go on.

A heap that is really used up was not played again with this change.

--- a/mixer/src/main/java/gingerring/net/Network.java
+++ b/mixer/src/main/java/gingerring/net/Network.java
@@ -93,6 +93,7 @@
           task -> {
             Thread thread = new Thread(null, task, "mina", THREAD_STACK_BYTES);
             thread.setDaemon(true);
+            thread.setUncaughtExceptionHandler(this::onThreadLost);
             return thread;
           });
   private final Processor processor = new Processor();
@@ -125,6 +126,7 @@
   private final Map<Connection, Runnable> waitingDials = new LinkedHashMap<>();
 
   private Runnable shortageHandler = () -> {};
+  private volatile Consumer<Throwable> threadLostHandler;
   private final Set<Connection> flushRequests = new LinkedHashSet<>();
   private final Set<Connection> connections = new LinkedHashSet<>();
 
@@ -361,6 +363,24 @@
     shortageHandler = task;
   }
 
+  /**
+   * Sets a handler that is called if one of MINA's threads ends by an exception or error. MINA does
+   * not replace such a thread, so that connections stay open and nothing is read or written any
+   * more. The handler runs on the thread that ends.
+   */
+  public void setThreadLostHandler(Consumer<Throwable> handler) {
+    threadLostHandler = handler;
+  }
+
+  private void onThreadLost(Thread thread, Throwable cause) {
+    Consumer<Throwable> handler = threadLostHandler;
+    if (handler != null) {
+      handler.accept(cause);
+    } else {
+      thread.getThreadGroup().uncaughtException(thread, cause);
+    }
+  }
+
   private void notifyConnectionFreed() {
     synchronized (acceptLock) {
       acceptLock.notifyAll();
--- a/mixer/src/main/java/gingerring/server/MixerServer.java
+++ b/mixer/src/main/java/gingerring/server/MixerServer.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
@@ -72,9 +73,19 @@
    */
   private static final int MIN_CONNECTION_SOCKETS = 16;
 
+  /** Exit code of a process that cannot listen or that has lost one of its threads. */
+  private static final int EXIT_FAILED = 1;
+
   private final Map<String, String> env;
   private final TrafficListener tap;
   private final PeerService peers;
+
+  /**
+   * Ends the process at once with the given exit code; does nothing where the mixer runs inside
+   * another process.
+   */
+  private final IntConsumer halt;
+
   final Counters counts = new Counters();
   final EventLoop loop = new EventLoop(counts);
   private final CountDownLatch ended = new CountDownLatch(1);
@@ -91,10 +102,17 @@
 
   private Duration shutdownDeadline;
 
+  /** Creates a mixer that runs inside another process. */
   MixerServer(Map<String, String> env, TrafficListener tap, PeerService peers) {
+    this(env, tap, peers, exitCode -> {});
+  }
+
+  private MixerServer(
+      Map<String, String> env, TrafficListener tap, PeerService peers, IntConsumer halt) {
     this.env = env;
     this.tap = tap;
     this.peers = peers;
+    this.halt = halt;
   }
 
   /** Runs a mixer until it has ended; returns the exit code. */
@@ -108,7 +126,7 @@
    */
   public static int run(
       Map<String, String> env, PrintStream errorOutput, TrafficListener tap, PeerService peers) {
-    MixerServer server = new MixerServer(env, tap, peers);
+    MixerServer server = new MixerServer(env, tap, peers, Runtime.getRuntime()::halt);
     // Install the handler before anything is read: SIGHUP ends a process without a handler, and an
     // early one is not to be lost.
     SignalHandler previousHandler = Signal.handle(new Signal("HUP"), signal -> server.reload());
@@ -140,6 +158,7 @@
     // both clocks are read at the same time
     double startEpochMs = System.currentTimeMillis() - loop.currentTime().toNanos() / 1e6;
     network = new Network(loop, counts, false, tap);
+    network.setThreadLostHandler(cause -> endProcess("a network thread", cause));
     host = new MixerHost(loop, settings, counts, startEpochMs);
     backend = new Backend(network, host, settings, counts, loop);
     startConfig = config;
@@ -173,7 +192,7 @@
     } catch (IOException e) {
       errorOutput.println(
           "gingerring serve: cannot listen at " + config.listenAddress() + ": " + e.getMessage());
-      return 1;
+      return EXIT_FAILED;
     }
     onListening.accept(listenAddress);
     LOG.info(
@@ -191,7 +210,7 @@
         dialTimeout.compareTo(MAX_WARM_UP_TIME) < 0 ? dialTimeout : MAX_WARM_UP_TIME,
         host::finishWarmUp); // the warm-up itself may go on
     loop.schedule(MAX_WARM_UP_TIME, socketWarmUp::closeAll);
-    loop.run(backend::dispatch, network::flush);
+    runLoop();
     LOG.info("ended; counts: {}", counts);
     if (tap != null) {
       tap.onShutdown();
@@ -200,6 +219,33 @@
     return 0;
   }
 
+  private void runLoop() {
+    try {
+      loop.run(backend::dispatch, network::flush);
+    } catch (RuntimeException | Error e) {
+      endProcess("the event loop's thread", e);
+      throw e;
+    }
+  }
+
+  /**
+   * Ends the process because a thread that it cannot work without has ended. A process without it
+   * would keep its port and its connections, answer nothing, and not react to SIGTERM; a process
+   * that has ended can be started anew, and its clients turn to other mixers. Nothing can be sent
+   * any more, and memory may be used up, so there is no shutdown.
+   */
+  private void endProcess(String lostThread, Throwable cause) {
+    try {
+      LOG.error(
+          "{} has ended, so the process ends; start it again, and if the heap was used up, give it"
+              + " a larger one or fewer connections",
+          lostThread,
+          cause);
+    } finally {
+      halt.accept(EXIT_FAILED);
+    }
+  }
+
   /**
    * Reads the configuration again on SIGHUP. This runs on the signal's thread, one reading at a
    * time, so that the newest is applied last. An unusable file changes nothing; entries that only
