--- a/mixer/src/main/java/gingerring/backend/SearcherConnection.java
+++ b/mixer/src/main/java/gingerring/backend/SearcherConnection.java
@@ -80,6 +80,11 @@
 
   private Duration lastReadAt;
 
+  /**
+   * The number of frames before the incomplete one whose time is limited; -1 if there was none yet.
+   */
+  private long limitedFrame = -1;
+
   SearcherConnection(Backend backend, ConnectionPool pool) {
     this.backend = backend;
     this.pool = pool;
@@ -315,20 +320,31 @@
       closeOnBadFrame(e.getMessage());
     }
     if (frameCodec.midFrame() && connection.isUsable()) {
-      // Searchers write each answer as a whole, so a frame that stays incomplete is truncated or
-      // has a wrong length.
-      long read = frameCodec.framesRead();
-      backend.schedule(
-          backend.dialTimeout(),
-          () -> {
-            if (frameCodec.framesRead() == read && connection.isUsable()) {
-              closeOnBadFrame("a frame is incomplete");
-            }
-          });
+      limitIncompleteFrame();
     }
     closeIfRetiredAndIdle();
   }
 
+  /**
+   * Closes the connection unless the frame that has begun is complete in time. Searchers write each
+   * answer as a whole, so a frame that stays incomplete is truncated or has a wrong length; so may
+   * have the one before it, which the codec holds until the next header is complete.
+   */
+  private void limitIncompleteFrame() {
+    long framesBefore = frameCodec.framesRead();
+    if (limitedFrame == framesBefore) {
+      return; // a read before this one began the frame
+    }
+    limitedFrame = framesBefore;
+    backend.schedule(
+        backend.dialTimeout(),
+        () -> {
+          if (frameCodec.framesRead() == framesBefore && connection.isUsable()) {
+            closeOnBadFrame("a frame is incomplete");
+          }
+        });
+  }
+
   /**
    * Closes the connection after a bad frame: the start of the next frame is unknown. The trip that
    * the frame was for and all others in flight may have run; they end as on a broken connection.
@@ -348,7 +364,7 @@
               "F: "
                   + new String(payload, 0, Math.min(payload.length, 80), StandardCharsets.US_ASCII)
                       .replaceAll("[^ -~]", "?"));
-      default -> throw new FrameCodec.MalformedFrameException("unknown frame type " + (int) letter);
+      default -> throw new IllegalArgumentException("the codec passes no frame of type " + letter);
     }
   }
 
