Fail the scan of a client that floods behind it, as its end is read late

Cause: what is behind an open request is read and dropped to see the client's end; over 1 MB that is paced to 64 KB each 10 ms, and the end lies behind all that the kernel holds.

Change: where reading becomes paced and a scan is open, the scan fails at once: its parts are cancelled and nothing more begins. Up to 1 MB is read at full speed as before. Reading unpaced while a scan is open was weighed; it lets one client keep the network's thread busy up to its deadline.

Test: FrontendRaceTest.scanOfClientThatFloodsBehindItsRequestFailsAtOnce, which failed before (no answer within 15 s).

--- a/mixer/src/main/java/gingerring/frontend/ClientConnection.java
+++ b/mixer/src/main/java/gingerring/frontend/ClientConnection.java
@@ -195,6 +195,21 @@
     connection.resumeReading();
   }
 
+  /**
+   * Fails the open scan of a client that floods behind its request. From here on its input is read
+   * so slowly that the client may have gone long before its end is read, and no attempt for it may
+   * begin then.
+   */
+  @Override
+  public void onDiscardPaced() {
+    if (scanOpen) {
+      frontend.counts().add("scans of flooding clients failed", 1);
+      closeAfterResponse = true;
+      frontend.clientDisconnected(this);
+      fail();
+    }
+  }
+
   /**
    * Responds with an error and closes the connection: after malformed input, the start of the next
    * request is unknown.
--- a/mixer/src/main/java/gingerring/net/Connection.java
+++ b/mixer/src/main/java/gingerring/net/Connection.java
@@ -198,9 +198,14 @@
     if (network.trafficListener != null) {
       network.trafficListener.onData(session.getId(), 1 - localSide, bytes.clone());
     }
+    boolean pacedBefore = discardedBytes > UNPACED_DISCARD_BYTES;
     discardedBytes += bytes.length;
     network.counters.add("bytes dropped", bytes.length);
-    return discardedBytes > UNPACED_DISCARD_BYTES;
+    boolean paced = discardedBytes > UNPACED_DISCARD_BYTES;
+    if (paced && !pacedBefore) {
+      network.eventQueue.post(this::handleDiscardPaced);
+    }
+    return paced;
   }
 
   /** Binds the MINA session. {@code inbound}: the peer opened the connection. */
@@ -246,6 +251,12 @@
     resumeReading();
   }
 
+  private void handleDiscardPaced() {
+    if (!closed) {
+      handler.onDiscardPaced();
+    }
+  }
+
   /**
    * Resumes reading, on MINA's thread, once {@link #input} has space again. Guards against a resume
    * that comes between the two steps of a suspension in {@link #onReceived}: it would be lost, and
--- a/mixer/src/main/java/gingerring/net/ConnectionHandler.java
+++ b/mixer/src/main/java/gingerring/net/ConnectionHandler.java
@@ -20,6 +20,12 @@
   /** Bytes have arrived in {@link Connection#input}. */
   void onReadable();
 
+  /**
+   * More input was discarded than is read at full speed; further input is read slowly, so that the
+   * end of the connection by the peer may be noticed late. Called once at most.
+   */
+  default void onDiscardPaced() {}
+
   /** All bytes put into {@link Connection#output} have been sent. */
   default void onFlushed() {}
 
--- a/mixer/src/test/java/gingerring/server/FrontendRaceTest.java
+++ b/mixer/src/test/java/gingerring/server/FrontendRaceTest.java
@@ -77,6 +77,29 @@
     }
   }
 
+  /**
+   * Guards against attempts for a client that has gone: behind more bytes than are read at full
+   * speed, the client's disconnect is seen only after all that the kernel holds was read slowly.
+   */
+  @Test
+  void scanOfClientThatFloodsBehindItsRequestFailsAtOnce() throws Exception {
+    int floodBytes = 1_500_000;
+    int deadlineMs = 600_000;
+    try (MixerTestHarness harness =
+        new MixerTestHarness("\"HardLimitMs\": 2000.0", "\"HardLimitMs\": " + deadlineMs + ".0")) {
+      MixerTestHarness.Box box = harness.box("b0", 0);
+      harness.announceAndAwaitReady(box);
+      MixerTestHarness.Client client = harness.connectClient();
+      client.write(harness.scanRequest("search", deadlineMs, 0));
+      MixerTestHarness.BoxConnection connection = box.acceptConnection();
+      String partId = connection.readCall().partIds().get(0);
+      client.write(new byte[floodBytes]);
+      assertEquals("500", client.readAnswer());
+      assertEquals(partId, connection.readFrame().payloadText(), "the part is cancelled");
+      assertEquals(1, harness.count("scans of flooding clients failed"));
+    }
+  }
+
   /**
    * Guards against a scan that is forwarded in the loop iteration in which its client's disconnect
    * is seen.
