Count descriptors in the test of idle clients, and keep the port that it refuses on

Change: the check takes the descriptors in use, as the limit counts them, read on the loop's thread in each of the 300 rounds, against the same limit of 216; it is as strict, since a descriptor over the limit makes the count negative. A stand-in that refuses connections keeps its port by a bound socket that does not listen, in all tests of this harness.

--- a/mixer/src/test/java/gingerring/server/FrontendRaceTest.java
+++ b/mixer/src/test/java/gingerring/server/FrontendRaceTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -360,12 +361,16 @@
       }
       harness.agent.resumeListening();
       harness.announceAndAwaitReady(boxes);
-      int peakConnections = 0;
+      AtomicInteger fewestAvailable = new AtomicInteger(maxConnections);
       for (int i = 0; i < 300; i++) {
         MixerTestHarness.Client client = harness.connectClient();
         client.write(harness.scanRequest("search", 1000, i % 8));
         harness.runIterations(2);
-        peakConnections = Math.max(peakConnections, harness.server.network().connectionCount());
+        // counted by descriptors: a dial that waits for one is a connection and holds none
+        harness.runInLoop(
+            () ->
+                fewestAvailable.accumulateAndGet(
+                    harness.server.network().availableConnections(), Math::min));
       }
       // the last clients may still wait in the accept backlog, and a searcher connection is dialled
       // at the end of the loop iteration of its scan
@@ -385,8 +390,11 @@
       assertTrue(scansTaken >= 90, harness.server.counts.toString());
       assertTrue(harness.count("links dialled") >= scansTaken, harness.server.counts.toString());
       assertTrue(
-          peakConnections <= maxConnections,
-          peakConnections + " connections at one time, " + harness.server.counts);
+          fewestAvailable.get() >= 0,
+          maxConnections
+              - fewestAvailable.get()
+              + " descriptors at one time, "
+              + harness.server.counts);
     }
   }
 
--- a/mixer/src/test/java/gingerring/server/MixerTestHarness.java
+++ b/mixer/src/test/java/gingerring/server/MixerTestHarness.java
@@ -380,19 +380,34 @@
 
   /** A listening socket. The kernel completes connections before the test accepts them. */
   private static class TestListener implements Closeable {
+    private static final int BACKLOG = 64;
+
+    private final InetSocketAddress address;
+
+    /** The listening socket; closed while connections are refused. */
     private ServerSocket serverSocket;
+
+    /**
+     * Keeps the port while connections are refused: bound and not listening. Guards against a port
+     * that another socket, such as a client's own end, has taken when listening resumes.
+     */
+    private final Socket portHolder;
+
     private final List<TestConnection> connections = new ArrayList<>();
 
     TestListener(boolean listens) throws IOException {
-      serverSocket = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
-      serverSocket.setSoTimeout(TIMEOUT_MS);
+      portHolder = new Socket();
+      portHolder.setReuseAddress(true);
+      portHolder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      address = (InetSocketAddress) portHolder.getLocalSocketAddress();
+      resumeListening();
       if (!listens) {
-        serverSocket.close();
+        stopListening();
       }
     }
 
     InetSocketAddress address() {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), serverSocket.getLocalPort());
+      return address;
     }
 
     Socket accept() throws IOException {
@@ -427,18 +442,18 @@
       serverSocket.close();
     }
 
-    /** Listens again at the same address. */
-    void resumeListening() throws IOException {
-      int port = serverSocket.getLocalPort();
+    /** Listens at the address; the socket that holds its port stays until the end. */
+    final void resumeListening() throws IOException {
       serverSocket = new ServerSocket();
       serverSocket.setReuseAddress(true);
       serverSocket.setSoTimeout(TIMEOUT_MS);
-      serverSocket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 64);
+      serverSocket.bind(address, BACKLOG);
     }
 
     @Override
     public void close() throws IOException {
       serverSocket.close();
+      portHolder.close();
       connections.forEach(MixerTestHarness::closeQuietly);
     }
   }
