Serve a good answer with framed noise behind it again; check its length alone

Cause: the frame held back was passed on only if the frame behind had a known letter, too. A length in range behind it already shows that its own length was right; a cut value has text there, whose first four bytes are no such length.

Change: only the length behind a frame decides.

--- a/mixer/src/main/java/gingerring/backend/FrameCodec.java
+++ b/mixer/src/main/java/gingerring/backend/FrameCodec.java
@@ -6,6 +6,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -29,39 +30,19 @@
 
   private static final int LENGTH_BYTES = 4;
 
-  /** The length and the letter. */
-  private static final int HEADER_BYTES = LENGTH_BYTES + 1;
-
-  /** The letters of the frames that a searcher sends. */
-  private static final String SEARCHER_LETTERS = "RHMF";
-
   /** A searcher's value may have up to 64 KiB, plus the line before it. */
   static final int MAX_FRAME_BYTES = (1 << 16) + 1024;
 
-  /** A frame whose payload has {@code read} of its bytes so far. */
-  private static final class Frame {
-    final char letter;
-    final byte[] payload;
-    int read;
-
-    Frame(char letter, int payloadLength) {
-      this.letter = letter;
-      payload = new byte[payloadLength];
-    }
-
-    boolean complete() {
-      return read == payload.length;
-    }
-  }
+  private final byte[] lengthField = new byte[LENGTH_BYTES];
+  private int lengthFieldRead;
 
-  private final byte[] header = new byte[HEADER_BYTES];
-  private int headerRead;
+  /** The letter and payload of the frame that is being read; null while a length is. */
+  private byte[] frame;
 
-  /** The frame whose payload is being read; null while a header is. */
-  private Frame frame;
+  private int frameRead;
 
-  /** A complete frame that waits for the header after it; null if there is none. */
-  private Frame heldFrame;
+  /** A complete frame that waits for the length after it; null if there is none. */
+  private byte[] heldFrame;
 
   private long framesRead;
 
@@ -72,7 +53,7 @@
 
   /** Returns whether a frame has been read in part. */
   boolean midFrame() {
-    return headerRead > 0;
+    return lengthFieldRead > 0;
   }
 
   /**
@@ -80,62 +61,50 @@
    * rest arrives.
    *
    * <p>A frame with further bytes behind it reaches the sink only once these have turned out to
-   * begin with a valid header. If they do not, the length of the frame may have been wrong, and its
-   * payload cut or mixed with bytes of the next frame: the sink does not get it.
+   * begin with a length in range. If they do not, the length of the frame may have been wrong, and
+   * its payload cut or mixed with bytes of the next frame: the sink does not get it.
    */
   void read(ByteRing in, Sink sink) throws MalformedFrameException {
     while (in.size() > 0) {
-      if (frame == null && !readHeader(in)) {
+      if (frame == null && !readLength(in)) {
         return;
       }
       deliverHeldFrame(sink);
-      frame.read += in.take(frame.payload, frame.read, frame.payload.length - frame.read);
-      if (frame.complete()) {
+      frameRead += in.take(frame, frameRead, frame.length - frameRead);
+      if (frameRead == frame.length) {
         heldFrame = frame;
         frame = null;
-        headerRead = 0;
+        lengthFieldRead = 0;
         framesRead++;
       }
     }
-    if (headerRead == 0) {
+    if (lengthFieldRead == 0) {
       deliverHeldFrame(sink);
     }
   }
 
-  /** Reads the next header as far as it has arrived; returns whether it is complete. */
-  private boolean readHeader(ByteRing in) throws MalformedFrameException {
-    headerRead += in.take(header, headerRead, HEADER_BYTES - headerRead);
-    if (headerRead >= LENGTH_BYTES) {
-      checkLength();
-    }
-    if (headerRead < HEADER_BYTES) {
+  /** Reads the next length as far as it has arrived; returns whether it is complete. */
+  private boolean readLength(ByteRing in) throws MalformedFrameException {
+    lengthFieldRead += in.take(lengthField, lengthFieldRead, LENGTH_BYTES - lengthFieldRead);
+    if (lengthFieldRead < LENGTH_BYTES) {
       return false;
     }
-    char letter = (char) (header[LENGTH_BYTES] & 0xFF);
-    if (SEARCHER_LETTERS.indexOf(letter) < 0) {
-      throw new MalformedFrameException("unknown frame type " + (int) letter);
-    }
-    frame = new Frame(letter, (int) frameLength() - 1);
-    return true;
-  }
-
-  private void checkLength() throws MalformedFrameException {
-    long length = frameLength();
+    long length =
+        Integer.toUnsignedLong(
+            ByteBuffer.wrap(lengthField).order(ByteOrder.LITTLE_ENDIAN).getInt());
     if (length < 1 || length > MAX_FRAME_BYTES) {
       throw new MalformedFrameException("frame length " + length + " is out of range");
     }
-  }
-
-  /** Returns the length that the header tells, the letter included. */
-  private long frameLength() {
-    return Integer.toUnsignedLong(ByteBuffer.wrap(header).order(ByteOrder.LITTLE_ENDIAN).getInt());
+    frame = new byte[(int) length];
+    frameRead = 0;
+    return true;
   }
 
   private void deliverHeldFrame(Sink sink) throws MalformedFrameException {
     if (heldFrame != null) {
-      Frame held = heldFrame;
+      byte[] held = heldFrame;
       heldFrame = null;
-      sink.frame(held.letter, held.payload);
+      sink.frame((char) held[0], Arrays.copyOfRange(held, 1, held.length));
     }
   }
 
--- a/mixer/src/main/java/gingerring/backend/SearcherConnection.java
+++ b/mixer/src/main/java/gingerring/backend/SearcherConnection.java
@@ -328,7 +328,7 @@
   /**
    * Closes the connection unless the frame that has begun is complete in time. Searchers write each
    * answer as a whole, so a frame that stays incomplete is truncated or has a wrong length; so may
-   * have the one before it, which the codec holds until the next header is complete.
+   * have the one before it, which the codec holds until the next length is complete.
    */
   private void limitIncompleteFrame() {
     long framesBefore = frameCodec.framesRead();
@@ -364,7 +364,7 @@
               "F: "
                   + new String(payload, 0, Math.min(payload.length, 80), StandardCharsets.US_ASCII)
                       .replaceAll("[^ -~]", "?"));
-      default -> throw new IllegalArgumentException("the codec passes no frame of type " + letter);
+      default -> throw new FrameCodec.MalformedFrameException("unknown frame type " + (int) letter);
     }
   }
 
