Let the test of incomplete requests wait until each of them has been read

Cause: a connection whose request has not been read yet is idle to the mixer, which may close it to make room; then idle connections make all the room, or others than the first client's.

Change: each of these requests asks for 100-continue, and the test reads that answer before it opens the next connection. What it checks is unchanged.

--- a/mixer/src/test/java/gingerring/server/FrontendRaceTest.java
+++ b/mixer/src/test/java/gingerring/server/FrontendRaceTest.java
@@ -412,7 +412,12 @@
         for (int i = 0; i < 201; i++) { // with one more, new clients would be turned away
           MixerTestHarness.Client client = harness.connectClient();
           if (i >= idleCount) {
-            client.write("POST /api HTTP/1.1\r\nHost: x\r\n");
+            // The answer to these headers shows that the request has begun at the mixer: until it
+            // is
+            // read, its connection is idle and may be closed in favour of others.
+            client.write(
+                "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n");
+            assertTrue(client.readHead().startsWith("HTTP/1.1 100"));
             partialClients.add(client);
           }
         }
