Review case 7: an answer whose length is one byte too small is served cut

Cause: a frame is delivered once the four bytes behind it make a length in range; one byte left over and three bytes of the next answer's length do. The letter behind them is looked at only afterwards.

--- a/review/standin-2/src/World.java
+++ b/review/standin-2/src/World.java
@@ -165,6 +165,12 @@
     Reply part(Searcher searcher, String id, int shard);
   }
 
+  /** What a bad searcher does to the frame of an answer before it is sent. */
+  interface Spoiler {
+    /** {@code othersOpen}: how many other parts are open on the connection. */
+    byte[] spoil(byte[] frame, String id, int othersOpen);
+  }
+
   /** One part as it reached a searcher. */
   record Seen(double at, String searcher, String id, int shard, String list, String text) {
     String query() {
@@ -185,6 +191,7 @@
     final int cell;
     final ServerSocket server;
     volatile Behaviour behaviour;
+    volatile Spoiler spoiler = (frame, id, othersOpen) -> frame;
     volatile String phase = "SERVING";
     volatile long upSinceMs;
     private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
@@ -212,6 +219,7 @@
     }
 
     private void serve(Socket socket) {
+      AtomicInteger open = new AtomicInteger();
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         while (true) {
@@ -224,9 +232,9 @@
             return;
           }
           switch ((char) frame[0]) {
-            case 'S' -> call(socket, frame);
-            case 'H' -> send(socket, 'H', "done");
-            case 'M' -> send(socket, 'M', "-");
+            case 'S' -> call(socket, frame, open);
+            case 'H' -> send(socket, frame('H', "done"));
+            case 'M' -> send(socket, frame('M', "-"));
             case 'C' ->
                 note("%s: C %s", id, new String(frame, 1, length - 1, StandardCharsets.US_ASCII));
             default -> note("%s: unknown letter %d", id, frame[0]);
@@ -239,52 +247,44 @@
       }
     }
 
-    private void call(Socket socket, byte[] frame) {
+    private void call(Socket socket, byte[] call, AtomicInteger open) {
       int at = 1;
-      while (at < frame.length) {
+      while (at < call.length) {
         int lineEnd = at;
-        while (frame[lineEnd] != '\n') {
+        while (call[lineEnd] != '\n') {
           lineEnd++;
         }
-        String[] words = new String(frame, at, lineEnd - at, StandardCharsets.US_ASCII).split(" ");
+        String[] words = new String(call, at, lineEnd - at, StandardCharsets.US_ASCII).split(" ");
         int textLength = Integer.parseInt(words[3]);
-        String text = new String(frame, lineEnd + 1, textLength, StandardCharsets.UTF_8);
+        String text = new String(call, lineEnd + 1, textLength, StandardCharsets.UTF_8);
         at = lineEnd + 1 + textLength;
         int shard = Integer.parseInt(words[1]);
         seen.add(new Seen(now(), id, words[0], shard, words[2], text));
         note("%s: part %s %s", id, words[0], words[2]);
+        open.incrementAndGet();
         Reply reply = behaviour.part(this, words[0], shard);
         if (reply != null) {
-          later(
-              reply.afterMs(),
-              () ->
-                  send(
-                      socket,
-                      'R',
-                      words[0]
-                          + ' '
-                          + reply.end()
-                          + " 1 -\n"
-                          + (reply.end().equals("done") ? value(text, shard) : "")));
+          later(reply.afterMs(), () -> answer(socket, words[0], reply.end(), text, shard, open));
         }
       }
     }
 
-    private void send(Socket socket, char letter, String rest) {
-      byte[] payload = rest.getBytes(StandardCharsets.UTF_8);
-      byte[] frame = new byte[5 + payload.length];
-      for (int i = 0; i < 4; i++) {
-        frame[i] = (byte) ((1 + payload.length) >> (8 * i));
-      }
-      frame[4] = (byte) letter;
-      System.arraycopy(payload, 0, frame, 5, payload.length);
+    private void answer(
+        Socket socket, String part, String end, String text, int shard, AtomicInteger open) {
+      String value = end.equals("done") ? value(text, shard) : "";
+      byte[] frame = frame('R', part + ' ' + end + " 1 -\n" + value);
+      byte[] sent = spoiler.spoil(frame, part, open.decrementAndGet());
+      note(
+          "%s: answers %s %s %s%s",
+          id, part, end, value, sent == frame ? "" : ", but the frame is spoilt");
+      send(socket, sent);
+    }
+
+    private void send(Socket socket, byte[] frame) {
       try {
         synchronized (socket) {
           socket.getOutputStream().write(frame);
         }
-        if (letter == 'R') {
-          note("%s: answered %s", id, rest.substring(0, rest.indexOf('\n')));
-        }
       } catch (IOException e) {
         note("%s: answer not sent: %s", id, e.getMessage());
       }
@@ -313,6 +313,17 @@
     }
   }
 
+  static byte[] frame(char letter, String rest) {
+    byte[] payload = rest.getBytes(StandardCharsets.UTF_8);
+    byte[] frame = new byte[5 + payload.length];
+    for (int i = 0; i < 4; i++) {
+      frame[i] = (byte) ((1 + payload.length) >> (8 * i));
+    }
+    frame[4] = (byte) letter;
+    System.arraycopy(payload, 0, frame, 5, payload.length);
+    return frame;
+  }
+
   private static int readByte(InputStream in) throws IOException {
     int next = in.read();
     if (next < 0) {
