--- a/review/standin-2/src/World.java
+++ b/review/standin-2/src/World.java
@@ -398,6 +398,9 @@
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         String request = readHead(in);
+        if (request == null) {
+          return;
+        }
         int number = calls.incrementAndGet();
         String target = request.split(" ")[1];
         note("%s: call %d: GET %s", name, number, target);
@@ -768,6 +771,10 @@
       }
     }
 
+    long pid() {
+      return process.pid();
+    }
+
     boolean alive() {
       return process.isAlive();
     }
