--- a/review/standin-2/src/Lengths.java
+++ b/review/standin-2/src/Lengths.java
@@ -19,6 +19,24 @@
   private record Asked(World.Answer answer, String query, int shard) {}
 
   private static List<String> run(World world, boolean trouble) throws Exception {
+    AtomicInteger answers = new AtomicInteger();
+    World.Spoiler oneByteTooSmall =
+        (frame, connection, othersOpen) -> {
+          if (answers.incrementAndGet() % 10 != 0 || othersOpen == 0) {
+            return frame;
+          }
+          byte[] spoilt = frame.clone();
+          spoilt[0]--;
+          return spoilt;
+        };
+    return play(world, trouble ? List.of(oneByteTooSmall) : List.of());
+  }
+
+  /**
+   * Plays a day on which the first searchers are bad, one for each of {@code spoilers}; returns the
+   * answers with a value that no searcher made for their request.
+   */
+  static List<String> play(World world, List<? extends World.Spoiler> spoilers) throws Exception {
     int cells = 6;
     List<World.Searcher> searchers = new ArrayList<>();
     for (int i = 0; i < cells; i++) {
@@ -31,17 +49,8 @@
               (searcher, id, shard) ->
                   new World.Reply(40 + 7 * (parts.incrementAndGet() % 5), "done")));
     }
-    AtomicInteger answersOfBad = new AtomicInteger();
-    if (trouble) {
-      searchers.get(0).spoiler =
-          (frame, id, othersOpen) -> {
-            if (answersOfBad.incrementAndGet() % 10 != 0 || othersOpen == 0) {
-              return frame;
-            }
-            byte[] spoilt = frame.clone();
-            spoilt[0]--;
-            return spoilt;
-          };
+    for (int i = 0; i < spoilers.size(); i++) {
+      searchers.get(i).spoiler = spoilers.get(i);
     }
     World.Discovery discovery = world.new Discovery("discovery");
     List<String> members = searchers.stream().map(World.Searcher::json).toList();
--- a/review/standin-2/src/World.java
+++ b/review/standin-2/src/World.java
@@ -167,8 +167,11 @@
 
   /** What a bad searcher does to the frame of an answer before it is sent. */
   interface Spoiler {
-    /** {@code othersOpen}: how many other parts are open on the connection. */
-    byte[] spoil(byte[] frame, String id, int othersOpen);
+    /**
+     * Returns what is sent, nothing if it is empty. {@code othersOpen}: how many other parts are
+     * open on the connection.
+     */
+    byte[] spoil(byte[] frame, Socket connection, int othersOpen);
   }
 
   /** One part as it reached a searcher. */
@@ -191,7 +194,7 @@
     final int cell;
     final ServerSocket server;
     volatile Behaviour behaviour;
-    volatile Spoiler spoiler = (frame, id, othersOpen) -> frame;
+    volatile Spoiler spoiler = (frame, connection, othersOpen) -> frame;
     volatile String phase = "SERVING";
     volatile long upSinceMs;
     private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
@@ -273,10 +276,14 @@
         Socket socket, String part, String end, String text, int shard, AtomicInteger open) {
       String value = end.equals("done") ? value(text, shard) : "";
       byte[] frame = frame('R', part + ' ' + end + " 1 -\n" + value);
-      byte[] sent = spoiler.spoil(frame, part, open.decrementAndGet());
+      byte[] sent = spoiler.spoil(frame, socket, open.decrementAndGet());
       note(
           "%s: answers %s %s %s%s",
-          id, part, end, value, sent == frame ? "" : ", but the frame is spoilt");
+          id,
+          part,
+          end,
+          value,
+          sent == frame ? "" : ", but sends " + sent.length + " bytes, not " + frame.length);
       send(socket, sent);
     }
 
