--- a/review/standin-2/src/Lengths.java
+++ b/review/standin-2/src/Lengths.java
@@ -3,11 +3,9 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
-/**
- * A bad searcher sends some answers with a length that does not fit: it is one byte too small.
- * Other answers follow on the connection, as parts are open there.
- */
+/** The length of an answer is one byte too small, and another answer is right behind it. */
 final class Lengths {
   private static final int USUAL_CLIENTS = 6;
   private static final int PATIENCE_MS = 4000;
@@ -19,24 +17,15 @@
   private record Asked(World.Answer answer, String query, int shard) {}
 
   private static List<String> run(World world, boolean trouble) throws Exception {
-    AtomicInteger answers = new AtomicInteger();
-    World.Spoiler oneByteTooSmall =
-        (frame, connection, othersOpen) -> {
-          if (answers.incrementAndGet() % 10 != 0 || othersOpen == 0) {
-            return frame;
-          }
-          byte[] spoilt = frame.clone();
-          spoilt[0]--;
-          return spoilt;
-        };
-    return play(world, trouble ? List.of(oneByteTooSmall) : List.of());
+    return play(world, trouble, () -> new JoinedAnswers(false));
   }
 
   /**
-   * Plays a day on which the first searchers are bad, one for each of {@code spoilers}; returns the
-   * answers with a value that no searcher made for their request.
+   * Plays a day on which three of six searchers are bad, unless {@code trouble} is false; returns
+   * the answers with a value that no searcher made for their request.
    */
-  static List<String> play(World world, List<? extends World.Spoiler> spoilers) throws Exception {
+  static List<String> play(World world, boolean trouble, Supplier<World.Spoiler> spoilers)
+      throws Exception {
     int cells = 6;
     List<World.Searcher> searchers = new ArrayList<>();
     for (int i = 0; i < cells; i++) {
@@ -49,8 +38,8 @@
               (searcher, id, shard) ->
                   new World.Reply(40 + 7 * (parts.incrementAndGet() % 5), "done")));
     }
-    for (int i = 0; i < spoilers.size(); i++) {
-      searchers.get(i).spoiler = spoilers.get(i);
+    for (int i = 0; trouble && i < cells / 2; i++) {
+      searchers.get(i).spoiler = spoilers.get();
     }
     World.Discovery discovery = world.new Discovery("discovery");
     List<String> members = searchers.stream().map(World.Searcher::json).toList();
