Drop headers that no request is read for, and bound the memory of all requests

Callers saw the process end with exit code 1, and their open requests unanswered, while some 335 other clients had each sent 8,190 bytes of an incomplete head of very many short headers.

Cause: a head was limited by its bytes alone, and each header was kept as two strings and a map entry, some 30 times its size, until the next request began. Only bodies had a limit over all clients, 16 MB whatever the process may take.

Change: the parser keeps the headers that requests are read for, at most 128 fields a message; what a request takes from its first byte to its response is reserved from one budget that follows limits.memory_mb and the heap, and the largest incomplete request makes room. Buffers of connections exist while they hold bytes only; output beyond 1 KB a connection has its own budget.

--- a/mixer/src/main/java/gingerring/frontend/ClientConnection.java
+++ b/mixer/src/main/java/gingerring/frontend/ClientConnection.java
@@ -11,16 +11,33 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Connection to one client. It serves one request at a time; the next request stays in the input
  * ring until the response has been written.
  */
 final class ClientConnection implements ConnectionHandler, ScanResponder {
+  /** The headers that requests are read for; all others are checked and dropped. */
+  private static final Set<String> RETAINED_HEADERS =
+      Set.of(
+          "host",
+          "connection",
+          "expect",
+          "x-txn",
+          "x-lane",
+          "x-remaining-ms",
+          "x-resent",
+          "idempotency-key");
+
   private final Frontend frontend;
   private final Connection connection;
   private final HttpParser parser;
-  private ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private RequestBody body = new RequestBody();
+
+  /** The memory reserved for the current request, from its first byte to its response. */
+  private long heldBytes;
+
   private final boolean overConnectionLimit;
   private MessageHead head;
   private Duration requestStartedAt;
@@ -53,6 +70,7 @@
         new HttpParser(
             true,
             Frontend.MAX_BODY_BYTES,
+            RETAINED_HEADERS::contains,
             new HttpParser.Handler() {
               @Override
               public void onHead(MessageHead parsedHead) {
@@ -64,8 +82,8 @@
 
               @Override
               public void onBody(byte[] bytes, int length) throws HttpException {
-                frontend.reserveBodyBytes(length);
-                body.write(bytes, 0, length);
+                holdBytes(parser.heldBytes() + body.capacityWith(length));
+                body.append(bytes, length);
               }
 
               @Override
@@ -75,6 +93,41 @@
             });
   }
 
+  /**
+   * Changes the memory that is reserved for the current request. Rejects the request if the clients
+   * together hold too much.
+   */
+  private void holdBytes(long bytes) throws HttpException {
+    if (!frontend.reserveRequestMemory(this, bytes - heldBytes)) {
+      throw new HttpException(503, "the requests of all clients take too much memory");
+    }
+    heldBytes = bytes;
+  }
+
+  /** Releases what is kept of the current request. */
+  private void releaseRequest() {
+    frontend.releaseRequestMemory(heldBytes);
+    heldBytes = 0;
+    head = null;
+    body = new RequestBody();
+  }
+
+  /** Returns the memory reserved for the current request. */
+  long heldBytes() {
+    return heldBytes;
+  }
+
+  /** Returns whether part of a request has been read, and the rest has not. */
+  boolean requestIncomplete() {
+    return !scanOpen && !finalResponseWritten && !evicted && parser.isMidMessage();
+  }
+
+  /** Rejects an incomplete request and closes the connection, to free memory for others. */
+  void shedIncompleteRequest() {
+    closeAfterResponse = true;
+    reject(Duration.ZERO);
+  }
+
   /**
    * Returns whether the connection is between requests and nothing of the next request has been
    * read.
@@ -93,11 +146,8 @@
    * takes.
    */
   private boolean requestStalled() {
-    return !scanOpen
-        && !finalResponseWritten
-        && !evicted
+    return requestIncomplete()
         && requestStartedAt != null
-        && parser.isMidMessage()
         && frontend.now().minus(requestStartedAt).compareTo(Frontend.SWEEP_INTERVAL) > 0;
   }
 
@@ -125,8 +175,7 @@
   boolean evict() {
     if (requestStalled()) {
       frontend.counts().add("half requests shed", 1);
-      closeAfterResponse = true;
-      reject(Duration.ZERO);
+      shedIncompleteRequest();
       evicted = true;
       return true;
     }
@@ -176,7 +225,9 @@
         if (requestStartedAt == null) {
           requestStartedAt = connection.inputArrivedAt();
         }
-        parser.parse(connection.input);
+        if (!parser.parse(connection.input)) {
+          holdBytes(parser.heldBytes() + body.capacity());
+        }
       }
     } catch (HttpException e) {
       refuseAndClose(e.status);
@@ -285,6 +336,9 @@
       reject(Duration.ZERO);
       return;
     }
+    head = null;
+    body = new RequestBody();
+    holdBytes(request.retainedBytes());
     scanOpen = true;
     if (!frontend.accept(request, requestStartedAt, this)) {
       frontend.counts().add("bad requests", 1);
@@ -341,8 +395,7 @@
     requestStartedAt = null;
     requestCompleted |= status == 200 || status == 503;
     idleSince = frontend.now();
-    frontend.releaseBodyBytes(body.size());
-    body = new ByteArrayOutputStream();
+    releaseRequest();
     closeAfterResponse |= frontend.closeAfterResponse();
     if (!write(HttpWriter.response(status, closeAfterResponse, extraHeaders, responseBody))) {
       frontend.counts().add("answers too large", 1);
@@ -375,8 +428,7 @@
   @Override
   public void onClosed() {
     frontend.clientClosed(this, evicted);
-    frontend.releaseBodyBytes(body.size());
-    body = new ByteArrayOutputStream();
+    releaseRequest();
     if (scanOpen) {
       scanOpen = false;
       frontend.clientDisconnected(this);
--- a/mixer/src/main/java/gingerring/frontend/Frontend.java
+++ b/mixer/src/main/java/gingerring/frontend/Frontend.java
@@ -1,15 +1,16 @@
 package gingerring.frontend;
 
 import gingerring.decide.Settings;
-import gingerring.http.HttpException;
 import gingerring.net.Connection;
 import gingerring.net.ConnectionHandler;
 import gingerring.net.Counters;
 import gingerring.net.LoopTimer;
+import gingerring.net.MemoryBudget;
 import gingerring.net.Network;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -30,7 +31,6 @@
   static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
   static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
-  private static final int MAX_BUFFERED_BODY_BYTES = 16 << 20;
 
   private final Network network;
   private final ScanHandler handler;
@@ -39,7 +39,12 @@
   private final LoopTimer clock;
   private final Consumer<Runnable> nextTurn;
   private final int maxConnections;
-  private int bufferedBodyBytes;
+
+  /**
+   * Limits the memory that the requests of all clients take, from their first byte to their end.
+   */
+  private final MemoryBudget requestMemory;
+
   private boolean closed;
 
   /** Number of connections that are being closed to make room for others. */
@@ -49,7 +54,8 @@
 
   /**
    * Creates the frontend. {@code nextTurn} runs a task in the next turn of the event loop; {@code
-   * maxConnections} limits the connections of the network, dialled ones included.
+   * maxConnections} limits the connections of the network, dialled ones included; {@code
+   * requestMemory} limits the memory that all requests take together.
    */
   public Frontend(
       Network network,
@@ -58,13 +64,15 @@
       Counters counts,
       LoopTimer clock,
       Consumer<Runnable> nextTurn,
-      int maxConnections) {
+      int maxConnections,
+      MemoryBudget requestMemory) {
     this.network = network;
     this.handler = handler;
     this.counts = counts;
     this.clock = clock;
     this.nextTurn = nextTurn;
     this.maxConnections = maxConnections;
+    this.requestMemory = requestMemory;
     requestParser = new ScanRequestParser(settings);
     clock.schedule(SWEEP_INTERVAL, this::enforceTimeouts);
   }
@@ -182,17 +190,28 @@
   }
 
   /**
-   * Reserves memory for part of a request body. The total is limited, so that many slow senders
-   * cannot exhaust the memory.
+   * Reserves memory for a client's request. Where it runs short, the incomplete requests that hold
+   * the most are rejected first, so that clients which stop in the middle of large requests keep
+   * out neither small ones nor each other for long. Returns false if none of them holds more than
+   * this client.
    */
-  void reserveBodyBytes(int length) throws HttpException {
-    if (bufferedBodyBytes + length > MAX_BUFFERED_BODY_BYTES) {
-      throw new HttpException(503, "too many request bodies incomplete");
+  boolean reserveRequestMemory(ClientConnection client, long bytes) {
+    while (!requestMemory.tryReserve(bytes)) {
+      ClientConnection largest =
+          clients.stream()
+              .filter(other -> other != client && other.requestIncomplete())
+              .max(Comparator.comparingLong(ClientConnection::heldBytes))
+              .orElse(null);
+      if (largest == null || largest.heldBytes() <= client.heldBytes()) {
+        return false;
+      }
+      counts.add("half requests shed", 1);
+      largest.shedIncompleteRequest();
     }
-    bufferedBodyBytes += length;
+    return true;
   }
 
-  void releaseBodyBytes(int length) {
-    bufferedBodyBytes -= length;
+  void releaseRequestMemory(long bytes) {
+    requestMemory.release(bytes);
   }
 }
--- a/mixer/src/main/java/gingerring/frontend/ScanRequest.java
+++ b/mixer/src/main/java/gingerring/frontend/ScanRequest.java
@@ -19,6 +19,17 @@
   /** The part of the scan that one shard answers; {@code route} is 0 if the client gave none. */
   public record Target(int shard, double share, Duration estimatedWork, long route) {}
 
+  /** What a target takes in memory, in bytes. */
+  private static final int TARGET_BYTES = 128;
+
+  /** What a request takes in memory besides its targets and texts, in bytes. */
+  private static final int OVERHEAD_BYTES = 512;
+
+  /** The memory that the request takes until its response, in bytes. */
+  public long retainedBytes() {
+    return OVERHEAD_BYTES + queryText.length + (long) TARGET_BYTES * targets.size();
+  }
+
   public Duration estimatedWork() {
     return targets.stream().map(Target::estimatedWork).reduce(Duration.ZERO, Duration::plus);
   }
--- a/mixer/src/main/java/gingerring/http/HttpParser.java
+++ b/mixer/src/main/java/gingerring/http/HttpParser.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.regex.Pattern;
 
 /**
@@ -27,11 +28,21 @@
   }
 
   private static final int MAX_HEAD_BYTES = 8192;
+
+  /** Most header fields of a message, retained or not. */
+  static final int MAX_HEADER_FIELDS = 128;
+
   private static final int MAX_CHUNK_LINE_BYTES = 256;
+
+  /** What a retained header takes besides its characters: two strings and a map entry. */
+  private static final int HEADER_OVERHEAD_BYTES = 160;
+
   private static final int BODY_BUFFER_BYTES = 4096;
+  private static final int MAX_LENGTH_DIGITS = 18;
+  private static final int MAX_CHUNK_SIZE_DIGITS = 8;
+  private static final String CONTENT_LENGTH = "content-length";
+  private static final String TRANSFER_ENCODING = "transfer-encoding";
   private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
-  private static final Pattern CONTENT_LENGTH = Pattern.compile("[0-9]{1,18}");
-  private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,8}");
 
   private enum State {
     START_LINE,
@@ -46,20 +57,40 @@
 
   private final boolean parsesRequests;
   private final long maxBodyBytes;
+  private final Predicate<String> retainsHeader;
   private final Handler handler;
-  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-  private final byte[] bodyBuffer = new byte[BODY_BUFFER_BYTES];
+
+  /** The line that is being read. */
+  private ByteArrayOutputStream line = new ByteArrayOutputStream();
+
   private State state = State.START_LINE;
   private String[] startLine;
+
+  /** The headers retained so far; null while no head is being read. */
   private Map<String, String> headers;
+
+  private int headerFields;
+  private int retainedHeadBytes;
   private int headLength;
   private long bodyLength;
   private long bytesLeft;
 
-  /** {@code parsesRequests}: parses requests, not responses. */
+  /** Creates a parser that retains all headers; {@code parsesRequests}: not responses. */
   public HttpParser(boolean parsesRequests, long maxBodyBytes, Handler handler) {
+    this(parsesRequests, maxBodyBytes, name -> true, handler);
+  }
+
+  /**
+   * Creates a parser that retains only some headers and those that describe the body. {@code
+   * retainsHeader} gets names in lower case. Guards against senders of many short headers, each of
+   * which would take many times its size in memory.
+   */
+  public HttpParser(
+      boolean parsesRequests, long maxBodyBytes, Predicate<String> retainsHeader, Handler handler) {
     this.parsesRequests = parsesRequests;
     this.maxBodyBytes = maxBodyBytes;
+    this.retainsHeader =
+        retainsHeader.or(name -> name.equals(CONTENT_LENGTH) || name.equals(TRANSFER_ENCODING));
     this.handler = handler;
   }
 
@@ -68,6 +99,14 @@
     return state != State.START_LINE || line.size() > 0;
   }
 
+  /**
+   * Returns the memory that the head of the current message takes, in bytes; what has been passed
+   * to the handler is included until the message ends.
+   */
+  public int heldBytes() {
+    return line.size() + retainedHeadBytes;
+  }
+
   /** Parses until a message ends or the buffer is empty; returns whether a message has ended. */
   public boolean parse(ByteRing input) throws HttpException {
     while (input.size() > 0) {
@@ -79,8 +118,7 @@
             case UNTIL_CLOSE -> readUntilClose(input);
           };
       if (ended) {
-        state = State.START_LINE;
-        headLength = 0;
+        startNextMessage();
         handler.onMessageEnd();
         return true;
       }
@@ -88,6 +126,17 @@
     return false;
   }
 
+  /** Releases all that was kept of the message that has ended. */
+  private void startNextMessage() {
+    state = State.START_LINE;
+    line = new ByteArrayOutputStream();
+    startLine = null;
+    headers = null;
+    headerFields = 0;
+    retainedHeadBytes = 0;
+    headLength = 0;
+  }
+
   private boolean readLine(ByteRing input) throws HttpException {
     int next;
     while ((next = input.take()) >= 0) {
@@ -114,7 +163,7 @@
 
   private boolean processLine() throws HttpException {
     String text = line.toString(StandardCharsets.ISO_8859_1);
-    line.reset();
+    line = new ByteArrayOutputStream(); // a reset would keep the capacity of the longest line
     text = text.substring(0, text.length() - 1);
     for (int i = 0; i < text.length(); i++) {
       if (text.charAt(i) < ' ' && text.charAt(i) != '\t' || text.charAt(i) == 127) {
@@ -145,6 +194,7 @@
       throw new HttpException(400, "invalid HTTP/1 start line");
     }
     headers = new LinkedHashMap<>();
+    retainedHeadBytes = text.length();
     state = State.HEADERS;
     return false;
   }
@@ -154,10 +204,15 @@
     if (colon < 1 || !isToken(text, colon)) {
       throw new HttpException(400, "invalid header line");
     }
-    headers.merge(
-        text.substring(0, colon).toLowerCase(Locale.ROOT),
-        text.substring(colon + 1).strip(),
-        (first, second) -> first + ", " + second);
+    if (++headerFields > MAX_HEADER_FIELDS) {
+      throw new HttpException(431, "more than " + MAX_HEADER_FIELDS + " header fields");
+    }
+    String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
+    if (retainsHeader.test(name)) {
+      headers.merge(
+          name, text.substring(colon + 1).strip(), (first, second) -> first + ", " + second);
+      retainedHeadBytes += HEADER_OVERHEAD_BYTES + text.length();
+    }
     return false;
   }
 
@@ -178,8 +233,8 @@
     MessageHead head =
         new MessageHead(
             startLine[0], startLine[1], startLine.length > 2 ? startLine[2] : "", headers);
-    String contentLength = head.header("content-length");
-    String transferEncoding = head.header("transfer-encoding");
+    String contentLength = head.header(CONTENT_LENGTH);
+    String transferEncoding = head.header(TRANSFER_ENCODING);
     bodyLength = 0;
     if (transferEncoding != null
         && (contentLength != null || !transferEncoding.equalsIgnoreCase("chunked"))) {
@@ -188,7 +243,7 @@
     if (transferEncoding != null) {
       state = State.CHUNK_SIZE;
     } else if (contentLength != null) {
-      if (!CONTENT_LENGTH.matcher(contentLength).matches()) {
+      if (!isNumber(contentLength, 10, MAX_LENGTH_DIGITS)) {
         throw new HttpException(400, "invalid Content-Length");
       }
       bytesLeft = Long.parseLong(contentLength);
@@ -208,6 +263,17 @@
     return state == State.BODY && bytesLeft == 0;
   }
 
+  /** Returns whether a text has nothing but ASCII digits, at least one and not too many. */
+  private static boolean isNumber(String text, int radix, int maxDigits) {
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c > 127 || Character.digit(c, radix) < 0) {
+        return false;
+      }
+    }
+    return !text.isEmpty() && text.length() <= maxDigits;
+  }
+
   private void addBodyLength(long length) throws HttpException {
     bodyLength += length;
     if (bodyLength > maxBodyBytes) {
@@ -218,7 +284,7 @@
   private boolean processChunkSize(String text) throws HttpException {
     int sizeEnd = text.indexOf(';');
     String size = (sizeEnd < 0 ? text : text.substring(0, sizeEnd)).strip();
-    if (!CHUNK_SIZE.matcher(size).matches()) {
+    if (!isNumber(size, 16, MAX_CHUNK_SIZE_DIGITS)) {
       throw new HttpException(400, "invalid chunk size");
     }
     bytesLeft = Long.parseLong(size, 16);
@@ -236,7 +302,9 @@
   }
 
   private boolean readBody(ByteRing input) throws HttpException {
-    int count = input.take(bodyBuffer, 0, (int) Math.min(bytesLeft, bodyBuffer.length));
+    int available = Math.min(input.size(), BODY_BUFFER_BYTES);
+    byte[] bodyBuffer = new byte[(int) Math.min(bytesLeft, available)];
+    int count = input.take(bodyBuffer, 0, bodyBuffer.length);
     bytesLeft -= count;
     handler.onBody(bodyBuffer, count);
     if (bytesLeft == 0 && state == State.CHUNK) {
@@ -246,6 +314,7 @@
   }
 
   private boolean readUntilClose(ByteRing input) throws HttpException {
+    byte[] bodyBuffer = new byte[Math.min(input.size(), BODY_BUFFER_BYTES)];
     int count = input.take(bodyBuffer, 0, bodyBuffer.length);
     addBodyLength(count);
     handler.onBody(bodyBuffer, count);
--- a/mixer/src/main/java/gingerring/net/ByteRing.java
+++ b/mixer/src/main/java/gingerring/net/ByteRing.java
@@ -3,13 +3,21 @@
 import java.nio.ByteBuffer;
 
 /**
- * A bounded ring buffer of bytes. If the initial capacity equals the limit, the array is never
- * replaced, and one thread may put while another takes; otherwise the buffer grows and must be used
- * by one thread only.
+ * A bounded ring buffer of bytes. It takes no memory while it is empty and has been released. If
+ * the initial capacity equals the limit, the array does not grow, and one thread may put while
+ * another takes and releases; otherwise the buffer grows and must be used by one thread only.
  */
 public final class ByteRing {
+  private static final byte[] NO_BYTES = {};
+
+  private final int initialCapacity;
   private final int capacity;
-  private byte[] bytes;
+
+  /** Limits the growth beyond the initial capacity, of all buffers together. */
+  private final MemoryBudget budget;
+
+  /** Replaced under this buffer's lock only. */
+  private byte[] bytes = NO_BYTES;
 
   /** Total number of bytes ever taken. */
   private volatile long readPosition;
@@ -21,8 +29,14 @@
    * Creates a buffer that starts with {@code initialCapacity} bytes and grows to {@code capacity}.
    */
   public ByteRing(int initialCapacity, int capacity) {
+    this(initialCapacity, capacity, MemoryBudget.UNLIMITED);
+  }
+
+  /** Creates a buffer that grows as far as {@code capacity} and the budget allow. */
+  ByteRing(int initialCapacity, int capacity, MemoryBudget budget) {
+    this.initialCapacity = initialCapacity;
     this.capacity = capacity;
-    bytes = new byte[initialCapacity];
+    this.budget = budget;
   }
 
   public int size() {
@@ -39,11 +53,13 @@
   }
 
   /** Puts all the bytes, or none if they do not all fit; returns whether they were put. */
-  public boolean put(byte[] source, int offset, int length) {
-    if (length > remainingCapacity()) {
+  public synchronized boolean put(byte[] source, int offset, int length) {
+    if (length > remainingCapacity() || !grow(size() + length)) {
       return false;
     }
-    grow(length);
+    if (length == 0) {
+      return true;
+    }
     int start = (int) (writePosition % bytes.length);
     int untilWrap = Math.min(length, bytes.length - start);
     System.arraycopy(source, offset, bytes, start, untilWrap);
@@ -56,16 +72,34 @@
     return put(source, 0, source.length);
   }
 
-  private void grow(int length) {
-    int required = size() + length;
+  /** Makes room for {@code required} bytes; returns false if the budget does not allow that. */
+  private boolean grow(int required) {
     if (required <= bytes.length) {
-      return;
+      return true;
+    }
+    int newLength =
+        Math.min(capacity, Math.max(required, Math.max(initialCapacity, 2 * bytes.length)));
+    if (!budget.tryReserve(beyondInitial(newLength) - beyondInitial(bytes.length))) {
+      return false;
     }
-    byte[] larger = new byte[Math.min(capacity, Math.max(required, 2 * bytes.length))];
+    byte[] larger = new byte[newLength];
     for (long i = readPosition; i < writePosition; i++) {
       larger[(int) (i % larger.length)] = bytes[(int) (i % bytes.length)];
     }
     bytes = larger;
+    return true;
+  }
+
+  private int beyondInitial(int length) {
+    return Math.max(0, length - initialCapacity);
+  }
+
+  /** Releases the memory of an empty buffer; the next put allocates it again. */
+  public synchronized void releaseIfEmpty() {
+    if (size() == 0) {
+      budget.release(beyondInitial(bytes.length));
+      bytes = NO_BYTES;
+    }
   }
 
   /** Takes the next byte; -1 if the buffer is empty. */
@@ -82,6 +116,9 @@
   /** Takes up to {@code length} bytes; returns how many. */
   public int take(byte[] target, int offset, int length) {
     int count = Math.min(length, size());
+    if (count == 0) {
+      return 0;
+    }
     int start = (int) (readPosition % bytes.length);
     int untilWrap = Math.min(count, bytes.length - start);
     System.arraycopy(bytes, start, target, offset, untilWrap);
@@ -94,6 +131,9 @@
    * The next bytes as far as they are contiguous in memory; they stay in the buffer until skipped.
    */
   public ByteBuffer peekContiguous() {
+    if (size() == 0) {
+      return ByteBuffer.wrap(NO_BYTES);
+    }
     int start = (int) (readPosition % bytes.length);
     return ByteBuffer.wrap(bytes, start, Math.min(size(), bytes.length - start)).slice();
   }
--- a/mixer/src/main/java/gingerring/net/Connection.java
+++ b/mixer/src/main/java/gingerring/net/Connection.java
@@ -93,7 +93,7 @@
   Connection(Network network, int maxOutputBytes, boolean inbound) {
     this.network = network;
     this.inbound = inbound;
-    output = new ByteRing(INITIAL_OUTPUT_BYTES, maxOutputBytes);
+    output = new ByteRing(INITIAL_OUTPUT_BYTES, maxOutputBytes, network.outputBudget());
   }
 
   /** Sets the handler that is called for the events of this connection. */
@@ -248,6 +248,7 @@
     } else {
       handler.onReadable();
     }
+    input.releaseIfEmpty();
     resumeReading();
   }
 
@@ -304,6 +305,7 @@
   private void handleSent() {
     output.skip(bytesInWrite);
     bytesInWrite = 0;
+    output.releaseIfEmpty();
     flush();
     if (output.size() == 0 && !closed) {
       handler.onFlushed();
@@ -403,6 +405,8 @@
   void handleClosed() {
     if (!closed) {
       closed = true;
+      output.clear();
+      output.releaseIfEmpty();
       network.forget(this);
       if (network.trafficListener != null && session != null) {
         network.trafficListener.onClosed(session.getId(), closing ? localSide : 1 - localSide);
--- a/mixer/src/main/java/gingerring/net/Network.java
+++ b/mixer/src/main/java/gingerring/net/Network.java
@@ -125,6 +125,9 @@
   /** Dials that wait for a free file descriptor, in the order in which they were requested. */
   private final Map<Connection, Runnable> waitingDials = new LinkedHashMap<>();
 
+  /** Limits what all connections buffer for sending, beyond a small buffer each. */
+  private volatile MemoryBudget outputBudget = MemoryBudget.UNLIMITED;
+
   private Runnable shortageHandler = () -> {};
   private volatile Consumer<Throwable> threadLostHandler;
   private final Set<Connection> flushRequests = new LinkedHashSet<>();
@@ -363,6 +366,15 @@
     shortageHandler = task;
   }
 
+  /** Limits what later connections may buffer for sending; called before any connection opens. */
+  public void setOutputBudget(MemoryBudget budget) {
+    outputBudget = budget;
+  }
+
+  MemoryBudget outputBudget() {
+    return outputBudget;
+  }
+
   /**
    * Sets a handler that is called if one of MINA's threads ends by an exception or error. MINA does
    * not replace such a thread, so that connections stay open and nothing is read or written any
--- a/mixer/src/main/java/gingerring/server/MixerConfig.java
+++ b/mixer/src/main/java/gingerring/server/MixerConfig.java
@@ -20,6 +20,7 @@
     InetSocketAddress discoveryAddress,
     long seed,
     int socketLimit,
+    int memoryLimitMb,
     MemberListUpdate knownMembers,
     Settings settings) {
   /** Thrown if a required entry is missing or cannot be read; the one-line message names it. */
@@ -37,6 +38,11 @@
   /** Enough for the process itself, discovery, a few searchers and a few clients. */
   private static final int MIN_SOCKET_LIMIT = 64;
 
+  private static final int DEFAULT_MEMORY_LIMIT_MB = 192;
+
+  /** Below this the heap has no room for requests. */
+  private static final int MIN_MEMORY_LIMIT_MB = 16;
+
   static MixerConfig read(Map<String, String> env) throws InvalidConfig {
     String file = env.get("LB_CONFIG");
     if (file == null) {
@@ -72,6 +78,7 @@
         discoveryRead,
         seed(config),
         socketLimit(config),
+        memoryLimitMb(config),
         knownMembers(config),
         settingsRead);
   }
@@ -84,6 +91,7 @@
     return name.equals(other.name)
         && listenAddress.equals(other.listenAddress)
         && socketLimit == other.socketLimit
+        && memoryLimitMb == other.memoryLimitMb
         && settings.values().equals(other.settings.values());
   }
 
@@ -144,26 +152,50 @@
   }
 
   private static int socketLimit(Map<String, Object> config) throws InvalidConfig {
-    double sockets = DEFAULT_SOCKET_LIMIT;
+    return limit(
+        config,
+        "sockets",
+        DEFAULT_SOCKET_LIMIT,
+        MIN_SOCKET_LIMIT,
+        "at least three for each searcher");
+  }
+
+  private static int memoryLimitMb(Map<String, Object> config) throws InvalidConfig {
+    return limit(
+        config,
+        "memory_mb",
+        DEFAULT_MEMORY_LIMIT_MB,
+        MIN_MEMORY_LIMIT_MB,
+        "what the process may take");
+  }
+
+  /** Reads a number of "limits"; {@code advice} says what it has to be besides its minimum. */
+  private static int limit(
+      Map<String, Object> config, String name, int defaultValue, int minimum, String advice)
+      throws InvalidConfig {
+    double value = defaultValue;
     try {
       Map<String, Object> limits =
           JsonFields.object(config.getOrDefault("limits", Map.of()), "limits");
-      if (limits.containsKey("sockets")) {
-        sockets = JsonFields.number(limits, "sockets");
+      if (limits.containsKey(name)) {
+        value = JsonFields.number(limits, name);
       }
     } catch (Json.JsonException e) {
       throw new InvalidConfig(
-          "limits.sockets cannot be read (" + e.getMessage() + "): give a number");
+          "limits." + name + " cannot be read (" + e.getMessage() + "): give a number");
     }
-    if (sockets < MIN_SOCKET_LIMIT) {
+    if (value < minimum) {
       throw new InvalidConfig(
-          "limits.sockets is out of its range, "
-              + sockets
+          "limits."
+              + name
+              + " is out of its range, "
+              + value
               + ": give a number from "
-              + MIN_SOCKET_LIMIT
-              + " up, and at least three for each searcher");
+              + minimum
+              + " up, and "
+              + advice);
     }
-    return (int) sockets;
+    return (int) value;
   }
 
   private static MemberListUpdate knownMembers(Map<String, Object> config) throws InvalidConfig {
--- a/mixer/src/main/java/gingerring/server/MixerServer.java
+++ b/mixer/src/main/java/gingerring/server/MixerServer.java
@@ -6,6 +6,7 @@
 import gingerring.frontend.Frontend;
 import gingerring.frontend.ScanHandler;
 import gingerring.net.Counters;
+import gingerring.net.MemoryBudget;
 import gingerring.net.Network;
 import gingerring.net.ScheduledTask;
 import gingerring.net.TrafficListener;
@@ -91,6 +92,10 @@
   private final CountDownLatch ended = new CountDownLatch(1);
   private Network network;
   Frontend frontend;
+
+  /** The memory that the requests of all clients take. */
+  MemoryBudget requestMemory;
+
   private MixerHost host;
   private Backend backend;
   private DiscoveryWatch watch;
@@ -158,6 +163,10 @@
     // both clocks are read at the same time
     double startEpochMs = System.currentTimeMillis() - loop.currentTime().toNanos() / 1e6;
     network = new Network(loop, counts, false, tap);
+    MemoryLimits memoryLimits =
+        MemoryLimits.of(config.memoryLimitMb(), Runtime.getRuntime().maxMemory());
+    network.setOutputBudget(new MemoryBudget("output", memoryLimits.outputBytes(), counts));
+    requestMemory = new MemoryBudget("requests", memoryLimits.requestBytes(), counts);
     network.setThreadLostHandler(cause -> endProcess("a network thread", cause));
     host = new MixerHost(loop, settings, counts, startEpochMs);
     backend = new Backend(network, host, settings, counts, loop);
@@ -179,7 +188,8 @@
             counts,
             loop,
             loop::post,
-            Math.max(MIN_CONNECTION_SOCKETS, config.socketLimit() - RESERVED_SOCKETS));
+            Math.max(MIN_CONNECTION_SOCKETS, config.socketLimit() - RESERVED_SOCKETS),
+            requestMemory);
     if (peers != null) {
       host.setPeers(peers);
       peers.start(new PeerContext(config, startEpochMs));
--- a/mixer/src/main/java/gingerring/server/ScanWarmUp.java
+++ b/mixer/src/main/java/gingerring/server/ScanWarmUp.java
@@ -9,6 +9,7 @@
 import gingerring.net.Connection;
 import gingerring.net.ConnectionHandler;
 import gingerring.net.Counters;
+import gingerring.net.MemoryBudget;
 import gingerring.net.Network;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -74,7 +75,15 @@
           Integer.MAX_VALUE,
           BUFFER_BYTES,
           connection -> connection.setHandler(new SampleSearcher(connection)));
-      new Frontend(network, host, settings, counts, loop, loop::post, Integer.MAX_VALUE)
+      new Frontend(
+              network,
+              host,
+              settings,
+              counts,
+              loop,
+              loop::post,
+              Integer.MAX_VALUE,
+              MemoryBudget.UNLIMITED)
           .listen(frontendAddress);
     } catch (IOException e) {
       return 0; // without the warm-up the mixer still starts, but its first answers are slow
