Pass on frames only where their bytes cannot belong to another one

Cause: of the bytes behind a frame only a length in range was asked, which the rest of a cut value and the next length make by chance; and nothing looked for the head of another frame inside a payload.

Change: FrameReader alone decides which bytes belong to which frame. What is behind a frame has to be the head of one that was to be expected there, up to the id of a part that was asked for on the connection; a payload may not hold what could be a head. What is in doubt fails with all that is in flight on the connection. Frames take memory as they arrive and share a budget with the values of open scans.

--- a/mixer/src/main/java/gingerring/backend/Backend.java
+++ b/mixer/src/main/java/gingerring/backend/Backend.java
@@ -5,6 +5,7 @@
 import gingerring.decide.Settings;
 import gingerring.net.Counters;
 import gingerring.net.LoopTimer;
+import gingerring.net.MemoryBudget;
 import gingerring.net.Network;
 import gingerring.net.ScheduledTask;
 import java.net.InetSocketAddress;
@@ -30,6 +31,7 @@
   private final BackendListener listener;
   private final Counters counts;
   private final LoopTimer clock;
+  private final MemoryBudget answerMemory;
   private final LoadReportParser loadReportParser;
   private final int maxPartsPerCall;
   private final int maxTripsPerConnection;
@@ -41,13 +43,29 @@
   private final Set<ConnectionPool> poolsToDispatch = new LinkedHashSet<>();
   private Duration lastBadFrameLog;
 
+  /** Creates a backend whose answers may take any memory. */
   public Backend(
       Network network,
       BackendListener listener,
       Settings settings,
       Counters counts,
       LoopTimer clock) {
+    this(network, listener, settings, counts, clock, MemoryBudget.UNLIMITED);
+  }
+
+  /**
+   * Creates a backend; {@code answerMemory} limits what the answers of all searchers take until
+   * they have been passed to the listener.
+   */
+  public Backend(
+      Network network,
+      BackendListener listener,
+      Settings settings,
+      Counters counts,
+      LoopTimer clock,
+      MemoryBudget answerMemory) {
     this.network = network;
+    this.answerMemory = answerMemory;
     this.listener = listener;
     this.counts = counts;
     this.clock = clock;
@@ -219,6 +237,10 @@
     }
   }
 
+  MemoryBudget answerMemory() {
+    return answerMemory;
+  }
+
   Network network() {
     return network;
   }
--- a/mixer/src/main/java/gingerring/backend/SearcherConnection.java
+++ b/mixer/src/main/java/gingerring/backend/SearcherConnection.java
@@ -30,6 +30,19 @@
     }
   }
 
+  /** The parts of this connection, as the reader of its frames has to know them. */
+  private final class ConnectionParts implements FrameReader.Parts {
+    @Override
+    public boolean isKnown(String partId) {
+      return tripsInFlight.containsKey(partId) || recentIds.contains(partId);
+    }
+
+    @Override
+    public int inFlight() {
+      return tripsInFlight.size();
+    }
+  }
+
   private static final int MAX_RECENT_IDS = 512;
 
   /**
@@ -41,7 +54,7 @@
   private final Backend backend;
   private final ConnectionPool pool;
   private final Connection connection;
-  private final FrameCodec frameCodec = new FrameCodec();
+  private final FrameReader frameReader;
 
   /** Cancel frames that wait to be sent after the calls of the same turn of the event loop. */
   private final List<byte[]> pendingCancels = new ArrayList<>();
@@ -91,6 +104,7 @@
     dialledAt = backend.now();
     lastUsedAt = dialledAt;
     lastReadAt = dialledAt;
+    frameReader = new FrameReader(new ConnectionParts(), backend.answerMemory());
     connection = backend.network().dial(pool.address(), Backend.OUTPUT_BUFFER_BYTES, this);
     dialTimer =
         backend.schedule(
@@ -315,11 +329,11 @@
       return;
     }
     try {
-      frameCodec.read(connection.input, this::handleFrame);
-    } catch (FrameCodec.MalformedFrameException e) {
+      frameReader.read(connection.input, this::handleFrame);
+    } catch (MalformedFrameException e) {
       closeOnBadFrame(e.getMessage());
     }
-    if (frameCodec.midFrame() && connection.isUsable()) {
+    if (frameReader.midFrame() && connection.isUsable()) {
       limitIncompleteFrame();
     }
     closeIfRetiredAndIdle();
@@ -331,7 +345,7 @@
    * have the one before it, which the codec holds until the next length is complete.
    */
   private void limitIncompleteFrame() {
-    long framesBefore = frameCodec.framesRead();
+    long framesBefore = frameReader.framesRead();
     if (limitedFrame == framesBefore) {
       return; // a read before this one began the frame
     }
@@ -339,7 +353,7 @@
     backend.schedule(
         backend.dialTimeout(),
         () -> {
-          if (frameCodec.framesRead() == framesBefore && connection.isUsable()) {
+          if (frameReader.framesRead() == framesBefore && connection.isUsable()) {
             closeOnBadFrame("a frame is incomplete");
           }
         });
@@ -355,53 +369,40 @@
     connection.close();
   }
 
-  private void handleFrame(char letter, byte[] payload) throws FrameCodec.MalformedFrameException {
+  private void handleFrame(char letter, byte[] payload) throws MalformedFrameException {
     switch (letter) {
       case 'R' -> handleResult(payload);
       case 'H', 'M' -> handleProbeAnswer(letter, new String(payload, StandardCharsets.US_ASCII));
       case 'F' ->
-          throw new FrameCodec.MalformedFrameException(
+          throw new MalformedFrameException(
               "F: "
                   + new String(payload, 0, Math.min(payload.length, 80), StandardCharsets.US_ASCII)
                       .replaceAll("[^ -~]", "?"));
-      default -> throw new FrameCodec.MalformedFrameException("unknown frame type " + (int) letter);
+      default -> throw new MalformedFrameException("unknown frame type " + (int) letter);
     }
   }
 
-  private void handleResult(byte[] payload) throws FrameCodec.MalformedFrameException {
-    int lineEnd = 0;
-    while (lineEnd < payload.length && payload[lineEnd] != '\n') {
-      lineEnd++;
-    }
-    String[] words = new String(payload, 0, lineEnd, StandardCharsets.US_ASCII).split(" ", -1);
-    if (lineEnd == payload.length || words.length != 4) {
-      throw new FrameCodec.MalformedFrameException("R without its status line");
-    }
-    Outcome outcome =
-        switch (words[1]) {
-          case "done" -> Outcome.SUCCEEDED;
-          case "failed" -> Outcome.ERROR;
-          case "full" -> Outcome.FULL;
-          default -> throw new FrameCodec.MalformedFrameException("R with an unknown outcome");
-        };
-    OutboundTrip trip = tripsInFlight.get(words[0]);
+  private void handleResult(byte[] payload) throws MalformedFrameException {
+    ResultLine line = ResultLine.parse(payload, 0, ResultLine.findEnd(payload, 0, payload.length));
+    OutboundTrip trip = tripsInFlight.get(line.partId());
     if (trip == null) {
-      if (!recentIds.contains(words[0])) {
-        throw new FrameCodec.MalformedFrameException("R for an unknown part");
+      if (!recentIds.contains(line.partId())) {
+        throw new MalformedFrameException("R for an unknown part");
       }
       backend.counts().add("late answers", 1);
       return;
     }
-    byte[] value = Arrays.copyOfRange(payload, lineEnd + 1, payload.length);
-    if (outcome == Outcome.SUCCEEDED && (value.length == 0 || !isUtf8(value))) {
-      throw new FrameCodec.MalformedFrameException("R with a value that is not valid UTF-8");
+    byte[] value = Arrays.copyOfRange(payload, line.length(), payload.length);
+    boolean succeeded = line.outcome() == Outcome.SUCCEEDED;
+    if (succeeded && (value.length == 0 || !isUtf8(value))) {
+      throw new MalformedFrameException("R with a value that is not valid UTF-8");
     }
     removeTrip(trip);
     backend.tripEnded(
         trip,
-        outcome,
-        backend.loadReportParser().parse(words[3]),
-        outcome == Outcome.SUCCEEDED ? value : null);
+        line.outcome(),
+        backend.loadReportParser().parse(line.loadReport()),
+        succeeded ? value : null);
   }
 
   /** Returns whether a value is valid UTF-8 and can be copied into a client's response. */
@@ -423,8 +424,7 @@
     }
   }
 
-  private void handleProbeAnswer(char letter, String answer)
-      throws FrameCodec.MalformedFrameException {
+  private void handleProbeAnswer(char letter, String answer) throws MalformedFrameException {
     PendingProbe probe = letter == backend.probeLetter() ? probesInFlight.poll() : null;
     if (probe == null) {
       backend.counts().add("late probe answers", 1);
@@ -432,7 +432,7 @@
     }
     boolean report = letter == 'M' && !answer.equals("failed");
     if (letter == 'H' && !answer.equals("done") && !answer.equals("failed")) {
-      throw new FrameCodec.MalformedFrameException("H with an unknown outcome");
+      throw new MalformedFrameException("H with an unknown outcome");
     }
     backend.probeEnded(
         pool,
@@ -460,6 +460,7 @@
   /** Ends all trips and probes in flight. A trip whose frame was sent in full may have run. */
   private void endTripsAndProbes(long bytesWritten) {
     dialTimer.cancel();
+    frameReader.release();
     pool.connectionClosed(this);
     for (OutboundTrip trip : new ArrayList<>(tripsInFlight.values())) {
       backend.tripEnded(
--- a/mixer/src/main/java/gingerring/server/MixerHost.java
+++ b/mixer/src/main/java/gingerring/server/MixerHost.java
@@ -19,6 +19,7 @@
 import gingerring.frontend.ScanRequest;
 import gingerring.frontend.ScanResponder;
 import gingerring.net.Counters;
+import gingerring.net.MemoryBudget;
 import gingerring.net.ScheduledTask;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -75,6 +76,14 @@
       responder = null;
       parts.forEach(part -> part.value = null);
     }
+
+    /** Returns the memory that the values received so far take, in bytes. */
+    long valueBytes() {
+      return parts.stream()
+          .filter(part -> part.value != null)
+          .mapToLong(part -> part.value.length)
+          .sum();
+    }
   }
 
   /**
@@ -133,6 +142,9 @@
   private Backend backend;
   private DiscoveryWatch watch;
 
+  /** Limits the memory that the values of open scans take. */
+  private MemoryBudget answerMemory = MemoryBudget.UNLIMITED;
+
   /** The service that exchanges reports with other mixers; null without peers. */
   private PeerService peers;
 
@@ -167,6 +179,11 @@
     machineTypes = List.of(settings.text("Skus").split(","));
   }
 
+  /** Limits what the values of open scans take together; called before the start. */
+  void setAnswerMemory(MemoryBudget budget) {
+    answerMemory = budget;
+  }
+
   /** Sets the peer service; called before the start. */
   void setPeers(PeerService peers) {
     this.peers = peers;
@@ -317,6 +334,7 @@
         heldCount >= 0 && openScans.isEmpty() == (heldCount == 0), "what is held is what is open");
     scan.parts.forEach(this::cancelUnsentTrips);
     scan.parts.forEach(this::removeIfFinished);
+    answerMemory.release(scan.valueBytes());
     scan.releaseAfterAnswer();
   }
 
@@ -335,12 +353,16 @@
   }
 
   @Override
-  public void tripEnded(OutboundTrip trip, Outcome outcome, float[] load, byte[] value) {
+  public void tripEnded(OutboundTrip trip, Outcome tripOutcome, float[] load, byte[] value) {
     loop.notifyMixer(
         () -> {
           OpenPart part = openParts.get(trip.part);
           boolean partOver = part == null || part.scan.answered || part.value != null;
-          if (part != null && !partOver && outcome == Outcome.SUCCEEDED) {
+          boolean succeeded = tripOutcome == Outcome.SUCCEEDED;
+          // a value that there is no memory for counts as a failed attempt, which may have run
+          boolean dropped = succeeded && !partOver && !answerMemory.tryReserve(value.length);
+          Outcome outcome = dropped ? Outcome.ERROR : tripOutcome;
+          if (!partOver && outcome == Outcome.SUCCEEDED) {
             part.value = value;
             heldCount--;
             partOver = true;
--- a/mixer/src/main/java/gingerring/server/MixerServer.java
+++ b/mixer/src/main/java/gingerring/server/MixerServer.java
@@ -169,7 +169,9 @@
     requestMemory = new MemoryBudget("requests", memoryLimits.requestBytes(), counts);
     network.setThreadLostHandler(cause -> endProcess("a network thread", cause));
     host = new MixerHost(loop, settings, counts, startEpochMs);
-    backend = new Backend(network, host, settings, counts, loop);
+    MemoryBudget answerMemory = new MemoryBudget("answers", memoryLimits.answerBytes(), counts);
+    host.setAnswerMemory(answerMemory);
+    backend = new Backend(network, host, settings, counts, loop, answerMemory);
     startConfig = config;
     watch =
         new DiscoveryWatch(
--- a/mixer/src/test/java/gingerring/server/WrongFrameLengthTest.java
+++ b/mixer/src/test/java/gingerring/server/WrongFrameLengthTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -83,6 +84,43 @@
     }
   }
 
+  /** Asks two scans on one connection, and answers both in one write; returns their answers. */
+  private static List<String> answersToTwo(int firstWrongBy, boolean takesInSecond)
+      throws Exception {
+    try (MixerTestHarness harness = new MixerTestHarness(ONE_TRIP)) {
+      MixerTestHarness.Box box = harness.box("b0", 0);
+      harness.announceAndAwaitReady(box);
+      MixerTestHarness.Client first = harness.connectClient();
+      first.write(harness.scanRequest("search", DEADLINE_MS, 0));
+      MixerTestHarness.BoxConnection connection = box.acceptConnection();
+      String firstPart = connection.readCall().partIds().get(0);
+      MixerTestHarness.Client second = harness.connectClient();
+      second.write(harness.scanRequest("search", DEADLINE_MS, 0));
+      byte[] secondFrame = resultFrame(connection.readCall().partIds().get(0), 0);
+      ByteArrayOutputStream answers = new ByteArrayOutputStream();
+      answers.writeBytes(resultFrame(firstPart, takesInSecond ? secondFrame.length : firstWrongBy));
+      answers.writeBytes(secondFrame);
+      connection.write(answers.toByteArray());
+      return List.of(first.readAnswer(), second.readAnswer());
+    }
+  }
+
+  /**
+   * Guards against a cut value served as whole where another answer is behind it: the bytes that
+   * the value lacks and the length of the next frame were taken for a length in range.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4, 5, 8, 12})
+  void answerWithTooSmallLengthBeforeAnotherFailsWithIt(int missing) throws Exception {
+    assertEquals(List.of(FAILED, FAILED), answersToTwo(-missing, false));
+  }
+
+  /** Guards against an answer that is served with the next one, another client's, inside. */
+  @Test
+  void answerWhoseLengthTakesInTheNextFailsWithIt() throws Exception {
+    assertEquals(List.of(FAILED, FAILED), answersToTwo(0, true));
+  }
+
   /** A failed answer of this kind is asked for again at another holder of the shard. */
   @Test
   void partWithTooSmallLengthIsRetriedElsewhere() throws Exception {
