Limit what the input of clients takes of one turn of the event loop

Cause: a pattern was compiled for each escape and matched for each chunk, so that a body took over 10 ms; and one turn parsed whatever all clients had sent, before timers, searchers and scans.

InputScheduler lets a turn parse 256 KB for each core that the process may take, in the order of arrival, and puts a client whose input cost over 64 KB within a second behind all others, at a pace of its own.

--- a/mixer/src/main/java/gingerring/frontend/ClientConnection.java
+++ b/mixer/src/main/java/gingerring/frontend/ClientConnection.java
@@ -30,6 +30,14 @@
           "x-resent",
           "idempotency-key");
 
+  /** What a complete request costs the event loop besides its bytes, as a number of bytes. */
+  private static final int REQUEST_COST_BYTES = 512;
+
+  /** A client is busy whose input cost more than this within {@link #COST_PERIOD}. */
+  private static final int BUSY_COST_BYTES = 64 << 10;
+
+  private static final Duration COST_PERIOD = Duration.ofSeconds(1);
+
   private final Frontend frontend;
   private final Connection connection;
   private final HttpParser parser;
@@ -43,6 +51,14 @@
   private Duration requestStartedAt;
   private Duration idleSince;
 
+  /** What the input of this client has cost since {@link #costPeriodStart}, in bytes. */
+  private long recentCost;
+
+  private Duration costPeriodStart;
+
+  /** What the request that was completed last cost besides its bytes. */
+  private long requestCost;
+
   /** Whether a scan of this client is open. */
   private boolean scanOpen;
 
@@ -66,6 +82,7 @@
     this.overConnectionLimit = overConnectionLimit;
     this.connection = connection;
     idleSince = frontend.now();
+    costPeriodStart = idleSince;
     parser =
         new HttpParser(
             true,
@@ -215,13 +232,33 @@
 
   @Override
   public void onReadable() {
+    if (mayParse()) {
+      frontend.inputScheduler().schedule(this);
+    } else {
+      finishReading();
+    }
+  }
+
+  /**
+   * Returns whether the next bytes can be parsed. The next request waits until the previous
+   * response has been sent, so that a slow reader delays only itself.
+   */
+  private boolean mayParse() {
+    return !scanOpen
+        && !finalResponseWritten
+        && connection.output.size() == 0
+        && connection.input.size() > 0;
+  }
+
+  /**
+   * Parses what has arrived, up to the end of a request; returns what that cost, in bytes. Called
+   * by the {@link InputScheduler}.
+   */
+  long parseInput() {
+    long takenBefore = connection.input.totalBytesTaken();
+    requestCost = 0;
     try {
-      // The next request waits until the previous response has been sent, so that a slow reader
-      // delays only itself.
-      while (!scanOpen
-          && !finalResponseWritten
-          && connection.output.size() == 0
-          && connection.input.size() > 0) {
+      while (mayParse()) {
         if (requestStartedAt == null) {
           requestStartedAt = connection.inputArrivedAt();
         }
@@ -232,6 +269,28 @@
     } catch (HttpException e) {
       refuseAndClose(e.status);
     }
+    long cost = requestCost + connection.input.totalBytesTaken() - takenBefore;
+    addRecentCost(cost);
+    finishReading();
+    return cost;
+  }
+
+  private void addRecentCost(long cost) {
+    if (frontend.now().minus(costPeriodStart).compareTo(COST_PERIOD) >= 0) {
+      costPeriodStart = frontend.now();
+      recentCost = 0;
+    }
+    recentCost += cost;
+  }
+
+  /** Returns whether this client's input has cost much lately, so that others go before it. */
+  boolean isBusy() {
+    return recentCost > BUSY_COST_BYTES
+        && frontend.now().minus(costPeriodStart).compareTo(COST_PERIOD) < 0;
+  }
+
+  /** Discards what is not going to be parsed, and lets the network read on. */
+  private void finishReading() {
     if (scanOpen && connection.isInputFull()) {
       // The client sent much data behind the current request. Left unread, it would hide that the
       // client disconnects. Dropping it loses the start of the next request, so the connection is
@@ -295,6 +354,7 @@
   }
 
   private void handleRequest() throws HttpException {
+    requestCost = REQUEST_COST_BYTES + body.capacity();
     closeAfterResponse =
         head.hasToken("connection", "close") || head.versionOrReason().equals("HTTP/1.0");
     if (head.versionOrReason().equals("HTTP/1.1") && head.header("host") == null) {
@@ -427,6 +487,7 @@
 
   @Override
   public void onClosed() {
+    frontend.inputScheduler().remove(this);
     frontend.clientClosed(this, evicted);
     releaseRequest();
     if (scanOpen) {
--- a/mixer/src/main/java/gingerring/frontend/Frontend.java
+++ b/mixer/src/main/java/gingerring/frontend/Frontend.java
@@ -35,6 +35,7 @@
   private final Network network;
   private final ScanHandler handler;
   private final ScanRequestParser requestParser;
+  private final InputScheduler inputScheduler;
   private final Counters counts;
   private final LoopTimer clock;
   private final Consumer<Runnable> nextTurn;
@@ -55,7 +56,8 @@
   /**
    * Creates the frontend. {@code nextTurn} runs a task in the next turn of the event loop; {@code
    * maxConnections} limits the connections of the network, dialled ones included; {@code
-   * requestMemory} limits the memory that all requests take together.
+   * requestMemory} limits the memory that all requests take together; {@code cores} is the share of
+   * a core that the process may take.
    */
   public Frontend(
       Network network,
@@ -65,7 +67,8 @@
       LoopTimer clock,
       Consumer<Runnable> nextTurn,
       int maxConnections,
-      MemoryBudget requestMemory) {
+      MemoryBudget requestMemory,
+      double cores) {
     this.network = network;
     this.handler = handler;
     this.counts = counts;
@@ -73,6 +76,7 @@
     this.nextTurn = nextTurn;
     this.maxConnections = maxConnections;
     this.requestMemory = requestMemory;
+    inputScheduler = new InputScheduler(clock, nextTurn, counts, cores);
     requestParser = new ScanRequestParser(settings);
     clock.schedule(SWEEP_INTERVAL, this::enforceTimeouts);
   }
@@ -161,6 +165,10 @@
     return clock.now();
   }
 
+  InputScheduler inputScheduler() {
+    return inputScheduler;
+  }
+
   ScanRequestParser requestParser() {
     return requestParser;
   }
--- a/mixer/src/main/java/gingerring/frontend/ScanRequestParser.java
+++ b/mixer/src/main/java/gingerring/frontend/ScanRequestParser.java
@@ -24,6 +24,11 @@
   private static final int MAX_ID_LENGTH = 128;
   private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
   private static final Pattern ROUTE = Pattern.compile("[0-9a-fA-F]{16}");
+
+  /** A target and its fields, with room for some that are not known here. */
+  private static final int VALUES_PER_TARGET = 12;
+
+  private static final int VALUES_BESIDE_TARGETS = 64;
   private static final long MAX_WORK_MICROS = 86_400_000_000L;
 
   /**
@@ -37,6 +42,9 @@
   private final List<Duration> maxDeadlines = new ArrayList<>();
   private final int shardCount;
 
+  /** Most JSON values of a body. */
+  private final int maxValues;
+
   ScanRequestParser(Settings settings) {
     for (int i = 0; i < settings.count("Classes.count"); i++) {
       serviceClasses.put(settings.text("Classes." + i + ".Name"), i);
@@ -44,6 +52,7 @@
       keyed.add(settings.text("Classes." + i + ".Idempotency").equals("deduplicated"));
     }
     shardCount = settings.count("Domain.Slices");
+    maxValues = VALUES_BESIDE_TARGETS + VALUES_PER_TARGET * shardCount;
   }
 
   ScanRequest parse(MessageHead head, byte[] body) throws HttpException {
@@ -60,7 +69,7 @@
     }
     String idempotencyKey = keyed.get(serviceClass) ? idHeader(head, "Idempotency-Key") : null;
     try {
-      Map<String, Object> object = JsonFields.object(Json.parse(body), "the body");
+      Map<String, Object> object = JsonFields.object(Json.parse(body, maxValues), "the body");
       return new ScanRequest(
           transactionId,
           serviceClass,
--- a/mixer/src/main/java/gingerring/json/Json.java
+++ b/mixer/src/main/java/gingerring/json/Json.java
@@ -25,20 +25,33 @@
   }
 
   static final int MAX_DEPTH = 16;
+  private static final int UNICODE_ESCAPE_DIGITS = 4;
   private static final Pattern NUMBER =
       Pattern.compile("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?");
 
   private final String text;
+  private final int maxValues;
   private int position;
+  private int values;
 
-  private Json(String text) {
+  private Json(String text, int maxValues) {
     this.text = text;
+    this.maxValues = maxValues;
   }
 
   /** Parses a JSON text in UTF-8. */
   public static Object parse(byte[] bytes) throws JsonException {
+    return parse(bytes, Integer.MAX_VALUE);
+  }
+
+  /**
+   * Parses a JSON text in UTF-8 that has at most {@code maxValues} values, nested ones included.
+   * Guards against texts of many tiny values, which take many times their size in memory.
+   */
+  public static Object parse(byte[] bytes, int maxValues) throws JsonException {
     try {
-      return parse(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString());
+      return parse(
+          StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString(), maxValues);
     } catch (CharacterCodingException e) {
       throw new JsonException("invalid UTF-8");
     }
@@ -46,7 +59,11 @@
 
   /** Parses a JSON text. */
   public static Object parse(String text) throws JsonException {
-    Json json = new Json(text);
+    return parse(text, Integer.MAX_VALUE);
+  }
+
+  private static Object parse(String text, int maxValues) throws JsonException {
+    Json json = new Json(text, maxValues);
     Object value = json.parseValue(0);
     json.skipWhitespace();
     if (json.position < text.length()) {
@@ -84,6 +101,9 @@
     if (depth > MAX_DEPTH) {
       throw error("nested deeper than " + MAX_DEPTH + " levels");
     }
+    if (++values > maxValues) {
+      throw error("more than " + maxValues + " values");
+    }
     return switch (peek()) {
       case '{' -> parseObject(depth);
       case '[' -> parseArray(depth);
@@ -171,13 +191,23 @@
     if (simpleEscape >= 0) {
       return "\"\\/\b\f\n\r\t".charAt(simpleEscape);
     }
-    String hex =
-        c == 'u' && position + 5 <= text.length() ? text.substring(position + 1, position + 5) : "";
-    if (!hex.matches("[0-9a-fA-F]{4}")) {
+    if (c != 'u' || position + UNICODE_ESCAPE_DIGITS >= text.length()) {
       throw error("invalid escape sequence");
     }
-    position += 4;
-    return (char) Integer.parseInt(hex, 16);
+    int codeUnit = 0;
+    for (int i = 0; i < UNICODE_ESCAPE_DIGITS; i++) {
+      int digit = hexDigit(text.charAt(++position));
+      if (digit < 0) {
+        throw error("invalid escape sequence");
+      }
+      codeUnit = 16 * codeUnit + digit;
+    }
+    return (char) codeUnit;
+  }
+
+  /** Returns the value of an ASCII hex digit, or -1. */
+  private static int hexDigit(char c) {
+    return c < 128 ? Character.digit(c, 16) : -1;
   }
 
   private Double parseNumber() throws JsonException {
--- a/mixer/src/main/java/gingerring/net/ByteRing.java
+++ b/mixer/src/main/java/gingerring/net/ByteRing.java
@@ -52,6 +52,11 @@
     return writePosition;
   }
 
+  /** Total number of bytes ever taken, skipped or cleared. */
+  public long totalBytesTaken() {
+    return readPosition;
+  }
+
   /** Puts all the bytes, or none if they do not all fit; returns whether they were put. */
   public synchronized boolean put(byte[] source, int offset, int length) {
     if (length > remainingCapacity() || !grow(size() + length)) {
--- a/mixer/src/main/java/gingerring/net/Connection.java
+++ b/mixer/src/main/java/gingerring/net/Connection.java
@@ -248,7 +248,6 @@
     } else {
       handler.onReadable();
     }
-    input.releaseIfEmpty();
     resumeReading();
   }
 
@@ -259,11 +258,12 @@
   }
 
   /**
-   * Resumes reading, on MINA's thread, once {@link #input} has space again. Guards against a resume
-   * that comes between the two steps of a suspension in {@link #onReceived}: it would be lost, and
-   * nothing would ever be read again.
+   * Resumes reading, on MINA's thread, once {@link #input} has space again, and releases the memory
+   * of an empty one. Guards against a resume that comes between the two steps of a suspension in
+   * {@link #onReceived}: it would be lost, and nothing would ever be read again.
    */
   public void resumeReading() {
+    input.releaseIfEmpty();
     if (readSuspended && !isInputFull() && !closed) {
       readSuspended = false;
       network.resumeReading(session);
--- a/mixer/src/main/java/gingerring/server/MixerConfig.java
+++ b/mixer/src/main/java/gingerring/server/MixerConfig.java
@@ -21,6 +21,7 @@
     long seed,
     int socketLimit,
     int memoryLimitMb,
+    double cores,
     MemberListUpdate knownMembers,
     Settings settings) {
   /** Thrown if a required entry is missing or cannot be read; the one-line message names it. */
@@ -43,6 +44,9 @@
   /** Below this the heap has no room for requests. */
   private static final int MIN_MEMORY_LIMIT_MB = 16;
 
+  private static final double DEFAULT_CORES = 1;
+  private static final double MIN_CORES = 0.01;
+
   static MixerConfig read(Map<String, String> env) throws InvalidConfig {
     String file = env.get("LB_CONFIG");
     if (file == null) {
@@ -79,6 +83,7 @@
         seed(config),
         socketLimit(config),
         memoryLimitMb(config),
+        cores(config),
         knownMembers(config),
         settingsRead);
   }
@@ -92,6 +97,7 @@
         && listenAddress.equals(other.listenAddress)
         && socketLimit == other.socketLimit
         && memoryLimitMb == other.memoryLimitMb
+        && cores == other.cores
         && settings.values().equals(other.settings.values());
   }
 
@@ -152,26 +158,32 @@
   }
 
   private static int socketLimit(Map<String, Object> config) throws InvalidConfig {
-    return limit(
-        config,
-        "sockets",
-        DEFAULT_SOCKET_LIMIT,
-        MIN_SOCKET_LIMIT,
-        "at least three for each searcher");
+    return (int)
+        limit(
+            config,
+            "sockets",
+            DEFAULT_SOCKET_LIMIT,
+            MIN_SOCKET_LIMIT,
+            "at least three for each searcher");
   }
 
   private static int memoryLimitMb(Map<String, Object> config) throws InvalidConfig {
-    return limit(
-        config,
-        "memory_mb",
-        DEFAULT_MEMORY_LIMIT_MB,
-        MIN_MEMORY_LIMIT_MB,
-        "what the process may take");
+    return (int)
+        limit(
+            config,
+            "memory_mb",
+            DEFAULT_MEMORY_LIMIT_MB,
+            MIN_MEMORY_LIMIT_MB,
+            "what the process may take");
+  }
+
+  private static double cores(Map<String, Object> config) throws InvalidConfig {
+    return limit(config, "cores", DEFAULT_CORES, MIN_CORES, "what the process may take of a core");
   }
 
   /** Reads a number of "limits"; {@code advice} says what it has to be besides its minimum. */
-  private static int limit(
-      Map<String, Object> config, String name, int defaultValue, int minimum, String advice)
+  private static double limit(
+      Map<String, Object> config, String name, double defaultValue, double minimum, String advice)
       throws InvalidConfig {
     double value = defaultValue;
     try {
@@ -195,7 +207,7 @@
               + " up, and "
               + advice);
     }
-    return (int) value;
+    return value;
   }
 
   private static MemberListUpdate knownMembers(Map<String, Object> config) throws InvalidConfig {
--- a/mixer/src/main/java/gingerring/server/MixerServer.java
+++ b/mixer/src/main/java/gingerring/server/MixerServer.java
@@ -191,7 +191,8 @@
             loop,
             loop::post,
             Math.max(MIN_CONNECTION_SOCKETS, config.socketLimit() - RESERVED_SOCKETS),
-            requestMemory);
+            requestMemory,
+            config.cores());
     if (peers != null) {
       host.setPeers(peers);
       peers.start(new PeerContext(config, startEpochMs));
--- a/mixer/src/main/java/gingerring/server/ScanWarmUp.java
+++ b/mixer/src/main/java/gingerring/server/ScanWarmUp.java
@@ -33,6 +33,7 @@
 final class ScanWarmUp {
   private static final int SAMPLE_SCANS = 60;
   private static final Duration TIME_LIMIT = Duration.ofMillis(1500);
+  private static final double WHOLE_CORE = 1;
   private static final int CLIENT_COUNT = 4;
   private static final int MAX_PARTS_PER_SCAN = 6;
   private static final int BUFFER_BYTES = 1 << 16;
@@ -83,7 +84,8 @@
               loop,
               loop::post,
               Integer.MAX_VALUE,
-              MemoryBudget.UNLIMITED)
+              MemoryBudget.UNLIMITED,
+              WHOLE_CORE)
           .listen(frontendAddress);
     } catch (IOException e) {
       return 0; // without the warm-up the mixer still starts, but its first answers are slow
--- a/mixer/src/test/java/gingerring/json/JsonTest.java
+++ b/mixer/src/test/java/gingerring/json/JsonTest.java
@@ -40,6 +40,9 @@
           "\"\\x\"",
           "\"\\u12g4\"",
           "\"\\u12",
+          "\"\\u123\"",
+          "\"\\u+123\"",
+          "\"\\u\uff11\uff11\uff11\uff11\"",
           "[1 2]",
           "1 1",
           "{1:2}",
@@ -50,6 +53,25 @@
     assertThrows(Json.JsonException.class, () -> Json.parse(new byte[] {'"', (byte) 0xC3, '"'}));
   }
 
+  /** Guards against escapes that are read at the cost of compiling a pattern each. */
+  @Test
+  void readsEveryCodeUnitAsAnEscape() throws Exception {
+    StringBuilder expected = new StringBuilder();
+    StringBuilder text = new StringBuilder("\"");
+    for (int codeUnit = 0; codeUnit <= 0xFFFF; codeUnit++) {
+      expected.append((char) codeUnit);
+      text.append(String.format(codeUnit % 2 == 0 ? "\\u%04x" : "\\u%04X", codeUnit));
+    }
+    assertEquals(expected.toString(), Json.parse(text.append('"').toString()));
+  }
+
+  @Test
+  void limitsTheNumberOfValues() throws Exception {
+    byte[] text = "{\"a\":[1,2,3]}".getBytes(StandardCharsets.UTF_8);
+    assertEquals("{a=[1.0, 2.0, 3.0]}", Json.parse(text, 5).toString());
+    assertThrows(Json.JsonException.class, () -> Json.parse(text, 4));
+  }
+
   @Test
   void randomTextIsParsedOrRejected() {
     SplittableRandom random = new SplittableRandom(11);
