Parse nothing of clients that have gone, and remember ids for their time

Seen in the users' own runs: a client closed its connection with much still unread and its requests were sent on afterwards; an id ran twice when it came again after its client had left.

Cause: after an answer a connection asks for a further turn of the loop to parse what is behind, and that turn did not look whether the connection had ended. Ids of ended scans were kept as the last 8,192, so that a flood of new ones had any of them forgotten within seconds.

Change: the input of an ended connection is not parsed. An id is remembered for twice the longest deadline of the settings, at most 10 s, within a share of the memory that the process may take; while that is full, new scans are rejected.

--- a/mixer/src/main/java/gingerring/backend/Backend.java
+++ b/mixer/src/main/java/gingerring/backend/Backend.java
@@ -31,7 +31,7 @@
   private final BackendListener listener;
   private final Counters counts;
   private final LoopTimer clock;
-  private final MemoryBudget answerMemory;
+  private final BackendLimits limits;
   private final LoadReportParser loadReportParser;
   private final int maxPartsPerCall;
   private final int maxTripsPerConnection;
@@ -50,22 +50,19 @@
       Settings settings,
       Counters counts,
       LoopTimer clock) {
-    this(network, listener, settings, counts, clock, MemoryBudget.UNLIMITED);
+    this(network, listener, settings, counts, clock, BackendLimits.NONE);
   }
 
-  /**
-   * Creates a backend; {@code answerMemory} limits what the answers of all searchers take until
-   * they have been passed to the listener.
-   */
+  /** Creates a backend within limits on its memory. */
   public Backend(
       Network network,
       BackendListener listener,
       Settings settings,
       Counters counts,
       LoopTimer clock,
-      MemoryBudget answerMemory) {
+      BackendLimits limits) {
     this.network = network;
-    this.answerMemory = answerMemory;
+    this.limits = limits;
     this.listener = listener;
     this.counts = counts;
     this.clock = clock;
@@ -238,7 +235,11 @@
   }
 
   MemoryBudget answerMemory() {
-    return answerMemory;
+    return limits.answerMemory();
+  }
+
+  int recentIdsPerConnection() {
+    return limits.recentIdsPerConnection();
   }
 
   Network network() {
--- a/mixer/src/main/java/gingerring/backend/SearcherConnection.java
+++ b/mixer/src/main/java/gingerring/backend/SearcherConnection.java
@@ -14,10 +14,8 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** A connection to a searcher, with the trips and probes in flight on it. */
 final class SearcherConnection implements ConnectionHandler {
@@ -43,8 +41,6 @@
     }
   }
 
-  private static final int MAX_RECENT_IDS = 512;
-
   /**
    * No further call is written while this many bytes wait to be sent, since written calls can no
    * longer be held back.
@@ -65,7 +61,7 @@
    * Ids of the trips that ended most recently. An answer with any other unknown id is a protocol
    * violation.
    */
-  private final Set<String> recentIds = new LinkedHashSet<>();
+  private final RecentPartIds recentIds;
 
   private final Deque<PendingProbe> probesInFlight = new ArrayDeque<>();
   private boolean opened;
@@ -104,6 +100,7 @@
     dialledAt = backend.now();
     lastUsedAt = dialledAt;
     lastReadAt = dialledAt;
+    recentIds = new RecentPartIds(backend.recentIdsPerConnection());
     frameReader = new FrameReader(new ConnectionParts(), backend.answerMemory());
     connection = backend.network().dial(pool.address(), Backend.OUTPUT_BUFFER_BYTES, this);
     dialTimer =
@@ -419,9 +416,6 @@
   private void removeTrip(OutboundTrip trip) {
     tripsInFlight.remove(trip.wireId);
     recentIds.add(trip.wireId);
-    if (recentIds.size() > MAX_RECENT_IDS) {
-      recentIds.remove(recentIds.iterator().next());
-    }
   }
 
   private void handleProbeAnswer(char letter, String answer) throws MalformedFrameException {
--- a/mixer/src/main/java/gingerring/decide/Settings.java
+++ b/mixer/src/main/java/gingerring/decide/Settings.java
@@ -54,6 +54,16 @@
     return values.containsKey(key) ? duration(key) : defaultValue;
   }
 
+  /** Returns the longest time for which a client of any service class may wait for its answer. */
+  public Duration longestDeadline() {
+    Duration longest = Duration.ZERO;
+    for (int i = 0; i < count("Classes.count"); i++) {
+      Duration deadline = duration("Classes." + i + ".HardLimitMs");
+      longest = deadline.compareTo(longest) > 0 ? deadline : longest;
+    }
+    return longest;
+  }
+
   public boolean has(String key) {
     return values.containsKey(key);
   }
--- a/mixer/src/main/java/gingerring/frontend/ClientConnection.java
+++ b/mixer/src/main/java/gingerring/frontend/ClientConnection.java
@@ -244,7 +244,8 @@
    * response has been sent, so that a slow reader delays only itself.
    */
   private boolean mayParse() {
-    return !scanOpen
+    return !connection.isClosed()
+        && !scanOpen
         && !finalResponseWritten
         && connection.output.size() == 0
         && connection.input.size() > 0;
--- a/mixer/src/main/java/gingerring/server/MixerHost.java
+++ b/mixer/src/main/java/gingerring/server/MixerHost.java
@@ -27,7 +27,6 @@
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -106,8 +105,11 @@
 
   private static final Logger LOG = LoggerFactory.getLogger("gingerring.mixer");
 
-  /** Number of transaction ids of recent scans that are remembered. */
-  private static final int MAX_RECENT_TRANSACTIONS = 8192;
+  /** How many of the longest deadlines a transaction id is remembered for, at least. */
+  private static final int DEADLINES_REMEMBERED = 2;
+
+  /** Beyond this, an id is remembered only while there is memory for it. */
+  private static final Duration MAX_TRANSACTION_MEMORY = Duration.ofSeconds(10);
 
   private final EventLoop loop;
   private final Settings settings;
@@ -127,7 +129,10 @@
    * could not be told from answers to the next. Each scan would then need a new connection to every
    * searcher, until descriptors run out.
    */
-  private final Set<String> recentTransactions = new LinkedHashSet<>();
+  private final RecentTransactions recentTransactions;
+
+  /** How long a transaction id is remembered after its scan has ended. */
+  private final Duration transactionMemory;
 
   private final Map<ScanResponder, OpenScan> scansByResponder = new IdentityHashMap<>();
   private final Map<String, SearcherId> searcherIds = new HashMap<>();
@@ -143,7 +148,7 @@
   private DiscoveryWatch watch;
 
   /** Limits the memory that the values of open scans take. */
-  private MemoryBudget answerMemory = MemoryBudget.UNLIMITED;
+  private final MemoryBudget answerMemory;
 
   /** The service that exchanges reports with other mixers; null without peers. */
   private PeerService peers;
@@ -169,6 +174,22 @@
    * loop's clock.
    */
   MixerHost(EventLoop loop, Settings settings, Counters counts, double startEpochMs) {
+    this(loop, settings, counts, startEpochMs, MemoryLimits.LARGEST, MemoryBudget.UNLIMITED);
+  }
+
+  /** Creates a host that keeps to limits on the memory of ids and of values. */
+  MixerHost(
+      EventLoop loop,
+      Settings settings,
+      Counters counts,
+      double startEpochMs,
+      MemoryLimits memoryLimits,
+      MemoryBudget answerMemory) {
+    this.answerMemory = answerMemory;
+    recentTransactions = new RecentTransactions(memoryLimits.transactionIdBytes());
+    Duration deadlines = settings.longestDeadline().multipliedBy(DEADLINES_REMEMBERED);
+    transactionMemory =
+        deadlines.compareTo(MAX_TRANSACTION_MEMORY) < 0 ? deadlines : MAX_TRANSACTION_MEMORY;
     this.loop = loop;
     this.settings = settings;
     this.counts = counts;
@@ -179,11 +200,6 @@
     machineTypes = List.of(settings.text("Skus").split(","));
   }
 
-  /** Limits what the values of open scans take together; called before the start. */
-  void setAnswerMemory(MemoryBudget budget) {
-    answerMemory = budget;
-  }
-
   /** Sets the peer service; called before the start. */
   void setPeers(PeerService peers) {
     this.peers = peers;
@@ -238,8 +254,8 @@
     }
     // The limit is checked before the scan is added: as in the simulator, the last scan accepted
     // may exceed it.
-    if (heldCount >= maxHeld) {
-      counts.add("nacks for a full house", 1);
+    if (heldCount >= maxHeld || recentTransactions.isFull(now())) {
+      counts.add(heldCount >= maxHeld ? "nacks for a full house" : "nacks for too many ids", 1);
       responder.reject(Duration.ZERO);
       return true;
     }
@@ -323,10 +339,7 @@
     scan.answered = true;
     openScans.remove(scan.id);
     scansByTransaction.remove(scan.request.transactionId());
-    recentTransactions.add(scan.request.transactionId());
-    if (recentTransactions.size() > MAX_RECENT_TRANSACTIONS) {
-      recentTransactions.remove(recentTransactions.iterator().next());
-    }
+    recentTransactions.add(scan.request.transactionId(), now().plus(transactionMemory), now());
     scansByResponder.remove(scan.responder);
     // as in the simulator, a part that has succeeded no longer counts as held
     heldCount -= 1 + (int) scan.parts.stream().filter(part -> part.value == null).count();
--- a/mixer/src/main/java/gingerring/server/MixerServer.java
+++ b/mixer/src/main/java/gingerring/server/MixerServer.java
@@ -1,6 +1,7 @@
 package gingerring.server;
 
 import gingerring.backend.Backend;
+import gingerring.backend.BackendLimits;
 import gingerring.decide.Settings;
 import gingerring.discovery.DiscoveryWatch;
 import gingerring.frontend.Frontend;
@@ -168,10 +169,11 @@
     network.setOutputBudget(new MemoryBudget("output", memoryLimits.outputBytes(), counts));
     requestMemory = new MemoryBudget("requests", memoryLimits.requestBytes(), counts);
     network.setThreadLostHandler(cause -> endProcess("a network thread", cause));
-    host = new MixerHost(loop, settings, counts, startEpochMs);
     MemoryBudget answerMemory = new MemoryBudget("answers", memoryLimits.answerBytes(), counts);
-    host.setAnswerMemory(answerMemory);
-    backend = new Backend(network, host, settings, counts, loop, answerMemory);
+    host = new MixerHost(loop, settings, counts, startEpochMs, memoryLimits, answerMemory);
+    BackendLimits backendLimits =
+        new BackendLimits(answerMemory, memoryLimits.recentIdsPerConnection(config.socketLimit()));
+    backend = new Backend(network, host, settings, counts, loop, backendLimits);
     startConfig = config;
     watch =
         new DiscoveryWatch(
@@ -331,13 +333,9 @@
     if (peers != null) {
       peers.shutDown(ACCEPT_AFTER_SIGTERM);
     }
-    Settings settings = startConfig.settings();
-    Duration drainTime = Duration.ZERO;
-    for (int i = 0; i < settings.count("Classes.count"); i++) {
-      Duration maxDeadline = settings.duration("Classes." + i + ".HardLimitMs");
-      drainTime = maxDeadline.compareTo(drainTime) > 0 ? maxDeadline : drainTime;
-    }
-    drainTime = drainTime.compareTo(MAX_DRAIN_TIME) < 0 ? drainTime : MAX_DRAIN_TIME;
+    Duration longestDeadline = startConfig.settings().longestDeadline();
+    Duration drainTime =
+        longestDeadline.compareTo(MAX_DRAIN_TIME) < 0 ? longestDeadline : MAX_DRAIN_TIME;
     shutdownDeadline = loop.now().plus(drainTime).plus(ACCEPT_AFTER_SIGTERM).minus(END_MARGIN);
     host.beginShutdown(shutdownDeadline);
     loop.schedule(ACCEPT_AFTER_SIGTERM, network::stopListening);
