Do not copy a body for each small piece of it

It copies only to grow now. Discarded bytes are copied for a recording alone, and a line is not copied to look at its last byte.

--- a/mixer/src/main/java/gingerring/frontend/RequestBody.java
+++ b/mixer/src/main/java/gingerring/frontend/RequestBody.java
@@ -26,7 +26,10 @@
 
   /** Appends the first {@code length} bytes of an array. */
   void append(byte[] source, int length) {
-    bytes = Arrays.copyOf(bytes, capacityWith(length));
+    int capacity = capacityWith(length);
+    if (capacity > bytes.length) {
+      bytes = Arrays.copyOf(bytes, capacity);
+    }
     System.arraycopy(source, 0, bytes, size, length);
     size += length;
   }
--- a/mixer/src/main/java/gingerring/http/HttpParser.java
+++ b/mixer/src/main/java/gingerring/http/HttpParser.java
@@ -63,6 +63,9 @@
   /** The line that is being read. */
   private ByteArrayOutputStream line = new ByteArrayOutputStream();
 
+  /** The newest byte of {@link #line}, if it has any. */
+  private int lastLineByte;
+
   private State state = State.START_LINE;
   private String[] startLine;
 
@@ -141,13 +144,13 @@
     int next;
     while ((next = input.take()) >= 0) {
       if (next == '\n') {
-        byte[] bytes = line.toByteArray();
-        if (bytes.length == 0 || bytes[bytes.length - 1] != '\r') {
+        if (line.size() == 0 || lastLineByte != '\r') {
           throw new HttpException(400, "line does not end with CRLF");
         }
         return true;
       }
       line.write(next);
+      lastLineByte = next;
       boolean inHead = state != State.CHUNK_SIZE && state != State.CHUNK_END;
       if (inHead && ++headLength > MAX_HEAD_BYTES) {
         throw new HttpException(
--- a/mixer/src/main/java/gingerring/net/Connection.java
+++ b/mixer/src/main/java/gingerring/net/Connection.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -159,7 +160,7 @@
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
     if (discarding) { // discardInput was called after these bytes were read
-      discard(bytes);
+      discard(bytes, bytes.length);
       return;
     }
     if (network.trafficListener != null) {
@@ -191,16 +192,16 @@
   }
 
   /**
-   * Counts discarded bytes. Returns whether so many were discarded that further reads are to be
-   * paced.
+   * Counts the first {@code length} bytes as discarded. Returns whether so many were discarded that
+   * further reads are to be paced.
    */
-  boolean discard(byte[] bytes) {
+  boolean discard(byte[] bytes, int length) {
     if (network.trafficListener != null) {
-      network.trafficListener.onData(session.getId(), 1 - localSide, bytes.clone());
+      network.trafficListener.onData(session.getId(), 1 - localSide, Arrays.copyOf(bytes, length));
     }
     boolean pacedBefore = discardedBytes > UNPACED_DISCARD_BYTES;
-    discardedBytes += bytes.length;
-    network.counters.add("bytes dropped", bytes.length);
+    discardedBytes += length;
+    network.counters.add("bytes dropped", length);
     boolean paced = discardedBytes > UNPACED_DISCARD_BYTES;
     if (paced && !pacedBefore) {
       network.eventQueue.post(this::handleDiscardPaced);
--- a/mixer/src/main/java/gingerring/net/Network.java
+++ b/mixer/src/main/java/gingerring/net/Network.java
@@ -7,7 +7,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -585,7 +584,7 @@
       if (count <= 0) {
         return count;
       }
-      if (connection.discard(Arrays.copyOf(discardBuffer.array(), count))) {
+      if (connection.discard(discardBuffer.array(), count)) {
         connection.session().suspendRead();
         discardResumeTimes.put(connection, eventQueue.currentTime().plus(DISCARD_INTERVAL));
       }
