--- a/mixer/src/main/java/gingerring/server/MixerHost.java
+++ b/mixer/src/main/java/gingerring/server/MixerHost.java
@@ -174,19 +174,23 @@
    * loop's clock.
    */
   MixerHost(EventLoop loop, Settings settings, Counters counts, double startEpochMs) {
-    this(loop, settings, counts, startEpochMs, MemoryLimits.LARGEST, MemoryBudget.UNLIMITED);
+    this(loop, settings, counts, startEpochMs, 0, MemoryLimits.LARGEST, MemoryBudget.UNLIMITED);
   }
 
-  /** Creates a host that keeps to limits on the memory of ids and of values. */
+  /**
+   * Creates a host that keeps to limits on the memory of ids and of values; {@code seed} is the
+   * configuration's.
+   */
   MixerHost(
       EventLoop loop,
       Settings settings,
       Counters counts,
       double startEpochMs,
+      long seed,
       MemoryLimits memoryLimits,
       MemoryBudget answerMemory) {
     this.answerMemory = answerMemory;
-    recentTransactions = new RecentTransactions(memoryLimits.transactionIdBytes());
+    recentTransactions = new RecentTransactions(memoryLimits.transactionIdBytes(), seed);
     Duration deadlines = settings.longestDeadline().multipliedBy(DEADLINES_REMEMBERED);
     transactionMemory =
         deadlines.compareTo(MAX_TRANSACTION_MEMORY) < 0 ? deadlines : MAX_TRANSACTION_MEMORY;
--- a/mixer/src/main/java/gingerring/server/MixerServer.java
+++ b/mixer/src/main/java/gingerring/server/MixerServer.java
@@ -170,7 +170,9 @@
     requestMemory = new MemoryBudget("requests", memoryLimits.requestBytes(), counts);
     network.setThreadLostHandler(cause -> endProcess("a network thread", cause));
     MemoryBudget answerMemory = new MemoryBudget("answers", memoryLimits.answerBytes(), counts);
-    host = new MixerHost(loop, settings, counts, startEpochMs, memoryLimits, answerMemory);
+    host =
+        new MixerHost(
+            loop, settings, counts, startEpochMs, config.seed(), memoryLimits, answerMemory);
     BackendLimits backendLimits =
         new BackendLimits(answerMemory, memoryLimits.recentIdsPerConnection(config.socketLimit()));
     backend = new Backend(network, host, settings, counts, loop, backendLimits);
--- a/mixer/src/test/java/gingerring/server/ClientDepartureTest.java
+++ b/mixer/src/test/java/gingerring/server/ClientDepartureTest.java
@@ -79,7 +79,7 @@
    */
   @Test
   void idIsNotForgottenWhileItsScanMayRun() throws Exception {
-    int otherIds = 12_000;
+    int otherIds = 30_000;
     try (MixerTestHarness harness =
         new MixerTestHarness("\"memory_mb\": 192", "\"memory_mb\": 32")) {
       harness.announceAndAwaitReady(harness.box("b0", 0));
--- a/mixer/src/test/java/gingerring/server/RecentTransactionsTest.java
+++ b/mixer/src/test/java/gingerring/server/RecentTransactionsTest.java
@@ -1,5 +1,6 @@
 package gingerring.server;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,26 +9,53 @@
 
 class RecentTransactionsTest {
   private static final Duration REMEMBERED = Duration.ofSeconds(4);
+  private static final int CAPACITY = 100;
 
-  /** Ids are forgotten in their order, once their time and the memory are used up. */
+  private final RecentTransactions recent =
+      new RecentTransactions(CAPACITY * RecentTransactions.ENTRY_BYTES, 7);
+
+  /** No id is forgotten before its time, even if there are more than the memory is for. */
   @Test
   void forgetsTheOldestIdsWhoseTimeIsOver() {
-    int capacity = 100;
-    String prefix = "id";
-    RecentTransactions recent =
-        new RecentTransactions(capacity * (RecentTransactions.ENTRY_BYTES + prefix.length() + 3L));
-    for (int i = 100; i < 100 + capacity; i++) {
-      recent.add(prefix + i, REMEMBERED, Duration.ZERO);
+    for (int i = 0; i < CAPACITY; i++) {
+      assertFalse(recent.isFull(Duration.ZERO));
+      recent.add("id" + i, REMEMBERED, Duration.ZERO);
     }
-    assertFalse(recent.isFull(Duration.ZERO));
-    recent.add("id999", REMEMBERED, Duration.ZERO);
     assertTrue(recent.isFull(Duration.ZERO), "none may be forgotten yet");
-    assertTrue(recent.contains("id100"));
+    recent.add("one more", REMEMBERED, Duration.ZERO);
+    assertTrue(recent.contains("id0"));
     assertFalse(recent.isFull(REMEMBERED), "the oldest may be forgotten now");
-    recent.add("id998", REMEMBERED.multipliedBy(2), REMEMBERED);
-    assertFalse(recent.contains("id100"));
-    assertFalse(recent.contains("id101"));
-    assertTrue(recent.contains("id102"));
-    assertTrue(recent.contains("id998"));
+    recent.add("later", REMEMBERED.multipliedBy(2), REMEMBERED);
+    assertFalse(recent.contains("id0"));
+    assertFalse(recent.contains("id1"));
+    assertTrue(recent.contains("id2"));
+    assertTrue(recent.contains("later"));
+  }
+
+  /** Exactly the newest ids are remembered, however often the table has been filled and emptied. */
+  @Test
+  void remembersTheNewestIdsThroughManyRounds() {
+    for (int i = 0; i < 50 * CAPACITY; i++) {
+      recent.add("id" + i, Duration.ZERO, Duration.ZERO);
+      recent.add("id" + i, Duration.ZERO, Duration.ZERO);
+      for (int j = Math.max(0, i - 2 * CAPACITY); j <= i + 1; j++) {
+        assertEquals(j <= i && j > i - CAPACITY, recent.contains("id" + j), "at " + i + ": " + j);
+      }
+    }
+  }
+
+  /** The rings and the table grow with the ids, up to the limit. */
+  @Test
+  void growsWithTheIds() {
+    int capacity = 5000;
+    RecentTransactions large =
+        new RecentTransactions((long) capacity * RecentTransactions.ENTRY_BYTES, 7);
+    for (int i = 0; i < capacity; i++) {
+      large.add("id" + i, REMEMBERED, Duration.ZERO);
+    }
+    for (int i = 0; i < capacity; i++) {
+      assertTrue(large.contains("id" + i));
+    }
+    assertFalse(large.contains("id" + capacity));
   }
 }
