Bound the memory of connections and of what they have received

At 32 MB and 1,024 descriptors the process ended with exit code 1 within 4 s of a soak in which most of 335 bad clients do the same harm at a time.

Cause, by the heap dump: 1,081 connections, and 520 input buffers of 8 KB in a heap of 10 MB. Connections were limited by descriptors alone, and a buffer had its full size from the first byte on.

Change: connections are limited by memory, too, with what happens when descriptors run short. Input buffers grow from 512 bytes as far as a budget allows, and a read takes no more than its connection has memory for. One response may take a quarter of what all may, and is not built if its values exceed that; control characters are escaped without a format each.

--- a/mixer/src/main/java/gingerring/frontend/ClientConnection.java
+++ b/mixer/src/main/java/gingerring/frontend/ClientConnection.java
@@ -30,6 +30,15 @@
           "x-resent",
           "idempotency-key");
 
+  /** The JSON escape of each control character. */
+  private static final byte[][] CONTROL_ESCAPES = new byte[' '][];
+
+  static {
+    for (int i = 0; i < CONTROL_ESCAPES.length; i++) {
+      CONTROL_ESCAPES[i] = String.format("\\u%04x", i).getBytes(StandardCharsets.US_ASCII);
+    }
+  }
+
   /** What a complete request costs the event loop besides its bytes, as a number of bytes. */
   private static final int REQUEST_COST_BYTES = 512;
 
@@ -409,6 +418,11 @@
 
   @Override
   public void answer(boolean complete, Map<Integer, byte[]> values) {
+    long valueBytes = values.values().stream().mapToLong(value -> value.length).sum();
+    if (valueBytes > frontend.maxResponseBytes()) {
+      failTooLarge(); // not even built, which takes several times its size
+      return;
+    }
     ByteArrayOutputStream json = new ByteArrayOutputStream();
     json.writeBytes(
         ("{\"whole\":" + complete + ",\"results\":[").getBytes(StandardCharsets.US_ASCII));
@@ -431,7 +445,7 @@
         json.write('\\');
         json.write(b);
       } else if (b >= 0 && b < ' ') {
-        json.writeBytes(String.format("\\u%04x", b).getBytes(StandardCharsets.US_ASCII));
+        json.writeBytes(CONTROL_ESCAPES[b]);
       } else {
         json.write(b);
       }
@@ -458,11 +472,13 @@
     idleSince = frontend.now();
     releaseRequest();
     closeAfterResponse |= frontend.closeAfterResponse();
-    if (!write(HttpWriter.response(status, closeAfterResponse, extraHeaders, responseBody))) {
-      frontend.counts().add("answers too large", 1);
-      closeAfterResponse = true;
-      write(HttpWriter.response(500, true, "", new byte[0]));
+    boolean written =
+        write(HttpWriter.response(status, closeAfterResponse, extraHeaders, responseBody));
+    if (!written && responseBody.length > 0) {
+      failTooLarge();
+      return;
     }
+    frontend.counts().checkInvariant(written, "a response without a body is written");
     if (closeAfterResponse) {
       finalResponseWritten = true;
       // closing with unread bytes, such as a further request, would reset the connection and lose
@@ -473,6 +489,13 @@
     }
   }
 
+  /** Fails the scan because its answer exceeds what may wait to be sent. */
+  private void failTooLarge() {
+    frontend.counts().add("answers too large", 1);
+    closeAfterResponse = true;
+    fail();
+  }
+
   private boolean write(byte[] bytes) {
     connection.requestFlush();
     return connection.isClosed() || connection.output.put(bytes);
@@ -489,6 +512,8 @@
   @Override
   public void onClosed() {
     frontend.inputScheduler().remove(this);
+    connection.input.clear();
+    connection.input.releaseIfEmpty();
     frontend.clientClosed(this, evicted);
     releaseRequest();
     if (scanOpen) {
--- a/mixer/src/main/java/gingerring/frontend/Frontend.java
+++ b/mixer/src/main/java/gingerring/frontend/Frontend.java
@@ -83,7 +83,12 @@
 
   public InetSocketAddress listen(InetSocketAddress address) throws IOException {
     network.setShortageHandler(this::evictClients);
-    return network.listen(address, maxConnections, OUTPUT_BUFFER_BYTES, this::clientConnected);
+    return network.listen(address, maxConnections, maxResponseBytes(), this::clientConnected);
+  }
+
+  /** Returns the size of the largest response. */
+  int maxResponseBytes() {
+    return network.limitOutput(OUTPUT_BUFFER_BYTES);
   }
 
   private void clientConnected(Connection connection) {
--- a/mixer/src/main/java/gingerring/http/HttpParser.java
+++ b/mixer/src/main/java/gingerring/http/HttpParser.java
@@ -240,7 +240,9 @@
     String transferEncoding = head.header(TRANSFER_ENCODING);
     bodyLength = 0;
     if (transferEncoding != null
-        && (contentLength != null || !transferEncoding.equalsIgnoreCase("chunked"))) {
+        && (contentLength != null
+            || !transferEncoding.equalsIgnoreCase("chunked")
+            || parsesRequests && startLine[2].equals("HTTP/1.0"))) {
       throw new HttpException(400, "conflicting or unsupported body framing");
     }
     if (transferEncoding != null) {
--- a/mixer/src/main/java/gingerring/net/ByteRing.java
+++ b/mixer/src/main/java/gingerring/net/ByteRing.java
@@ -3,9 +3,8 @@
 import java.nio.ByteBuffer;
 
 /**
- * A bounded ring buffer of bytes. It takes no memory while it is empty and has been released. If
- * the initial capacity equals the limit, the array does not grow, and one thread may put while
- * another takes and releases; otherwise the buffer grows and must be used by one thread only.
+ * A bounded ring buffer of bytes, which grows with what it holds. It takes no memory while it is
+ * empty and has been released. One thread may put while another takes and releases.
  */
 public final class ByteRing {
   private static final byte[] NO_BYTES = {};
@@ -16,8 +15,18 @@
   /** Limits the growth beyond the initial capacity, of all buffers together. */
   private final MemoryBudget budget;
 
-  /** Replaced under this buffer's lock only. */
-  private byte[] bytes = NO_BYTES;
+  /**
+   * Holds the bytes, each at its position modulo the length. Replaced under this buffer's lock
+   * only; a thread that takes may go on with the array before, which keeps the bytes put until
+   * then.
+   */
+  private volatile byte[] bytes = NO_BYTES;
+
+  /** What {@link #prepare} has reserved and no put has used yet. */
+  private int preparedBytes;
+
+  /** Whether the array is no longer counted in the budget. */
+  private boolean detached;
 
   /** Total number of bytes ever taken. */
   private volatile long readPosition;
@@ -57,18 +66,50 @@
     return readPosition;
   }
 
+  /**
+   * Makes sure that the next put succeeds; returns how many bytes it may have, {@code wanted} at
+   * most. That may be fewer than {@link #remainingCapacity} while the budget is used up.
+   */
+  synchronized int prepare(int wanted) {
+    unprepare();
+    int possible = Math.min(wanted, remainingCapacity());
+    int growth = budgeted(lengthFor(size() + possible)) - budgeted(bytes.length);
+    if (growth > 0 && !budget.tryReserve(growth)) {
+      return Math.min(possible, Math.max(initialCapacity, bytes.length) - size());
+    }
+    preparedBytes = Math.max(0, growth);
+    return possible;
+  }
+
+  /** Returns whether no byte can be put now, for want of capacity or of memory. */
+  synchronized boolean isFull() {
+    int unused = Math.max(initialCapacity, bytes.length) - size();
+    boolean mayGrow =
+        remainingCapacity() > 0
+            && budget.available() >= budgeted(lengthFor(size() + 1)) - budgeted(bytes.length);
+    return unused == 0 && !mayGrow;
+  }
+
+  /** Takes back what {@link #prepare} has reserved. */
+  synchronized void unprepare() {
+    budget.release(preparedBytes);
+    preparedBytes = 0;
+  }
+
   /** Puts all the bytes, or none if they do not all fit; returns whether they were put. */
   public synchronized boolean put(byte[] source, int offset, int length) {
-    if (length > remainingCapacity() || !grow(size() + length)) {
+    if (detached || length > remainingCapacity() || !grow(size() + length)) {
       return false;
     }
+    unprepare();
     if (length == 0) {
       return true;
     }
-    int start = (int) (writePosition % bytes.length);
-    int untilWrap = Math.min(length, bytes.length - start);
-    System.arraycopy(source, offset, bytes, start, untilWrap);
-    System.arraycopy(source, offset + untilWrap, bytes, 0, length - untilWrap);
+    byte[] target = bytes;
+    int start = (int) (writePosition % target.length);
+    int untilWrap = Math.min(length, target.length - start);
+    System.arraycopy(source, offset, target, start, untilWrap);
+    System.arraycopy(source, offset + untilWrap, target, 0, length - untilWrap);
     writePosition += length;
     return true;
   }
@@ -79,41 +120,66 @@
 
   /** Makes room for {@code required} bytes; returns false if the budget does not allow that. */
   private boolean grow(int required) {
-    if (required <= bytes.length) {
+    byte[] old = bytes;
+    if (required <= old.length) {
       return true;
     }
-    int newLength =
-        Math.min(capacity, Math.max(required, Math.max(initialCapacity, 2 * bytes.length)));
-    if (!budget.tryReserve(beyondInitial(newLength) - beyondInitial(bytes.length))) {
+    byte[] larger = new byte[lengthFor(required)];
+    int growth = budgeted(larger.length) - budgeted(old.length);
+    if (growth <= preparedBytes) {
+      preparedBytes -= growth;
+    } else if (!budget.tryReserve(growth)) {
       return false;
     }
-    byte[] larger = new byte[newLength];
     for (long i = readPosition; i < writePosition; i++) {
-      larger[(int) (i % larger.length)] = bytes[(int) (i % bytes.length)];
+      larger[(int) (i % larger.length)] = old[(int) (i % old.length)];
     }
     bytes = larger;
     return true;
   }
 
-  private int beyondInitial(int length) {
+  /** Returns the length of the array for {@code required} bytes: doubled as often as needed. */
+  private int lengthFor(int required) {
+    int length = Math.max(initialCapacity, bytes.length);
+    while (length < required) {
+      length *= 2;
+    }
+    return Math.min(capacity, length);
+  }
+
+  /** Returns how much of an array's length is taken from the budget. */
+  private int budgeted(int length) {
     return Math.max(0, length - initialCapacity);
   }
 
   /** Releases the memory of an empty buffer; the next put allocates it again. */
   public synchronized void releaseIfEmpty() {
     if (size() == 0) {
-      budget.release(beyondInitial(bytes.length));
+      budget.release(detached ? 0 : budgeted(bytes.length));
       bytes = NO_BYTES;
     }
   }
 
+  /**
+   * Gives back what is reserved: nothing is put any more. The bytes can still be taken, and the
+   * memory is freed with this object at the latest.
+   */
+  synchronized void detachFromBudget() {
+    unprepare();
+    if (!detached) {
+      budget.release(budgeted(bytes.length));
+      detached = true;
+    }
+  }
+
   /** Takes the next byte; -1 if the buffer is empty. */
   public int take() {
     long position = readPosition;
     if (position == writePosition) {
       return -1;
     }
-    int next = bytes[(int) (position % bytes.length)] & 0xFF;
+    byte[] source = bytes;
+    int next = source[(int) (position % source.length)] & 0xFF;
     readPosition = position + 1;
     return next;
   }
@@ -124,10 +190,11 @@
     if (count == 0) {
       return 0;
     }
-    int start = (int) (readPosition % bytes.length);
-    int untilWrap = Math.min(count, bytes.length - start);
-    System.arraycopy(bytes, start, target, offset, untilWrap);
-    System.arraycopy(bytes, 0, target, offset + untilWrap, count - untilWrap);
+    byte[] source = bytes;
+    int start = (int) (readPosition % source.length);
+    int untilWrap = Math.min(count, source.length - start);
+    System.arraycopy(source, start, target, offset, untilWrap);
+    System.arraycopy(source, 0, target, offset + untilWrap, count - untilWrap);
     readPosition += count;
     return count;
   }
@@ -136,11 +203,13 @@
    * The next bytes as far as they are contiguous in memory; they stay in the buffer until skipped.
    */
   public ByteBuffer peekContiguous() {
-    if (size() == 0) {
+    int size = size();
+    if (size == 0) {
       return ByteBuffer.wrap(NO_BYTES);
     }
-    int start = (int) (readPosition % bytes.length);
-    return ByteBuffer.wrap(bytes, start, Math.min(size(), bytes.length - start)).slice();
+    byte[] source = bytes;
+    int start = (int) (readPosition % source.length);
+    return ByteBuffer.wrap(source, start, Math.min(size, source.length - start)).slice();
   }
 
   /** Removes the next {@code count} bytes. */
--- a/mixer/src/main/java/gingerring/net/Connection.java
+++ b/mixer/src/main/java/gingerring/net/Connection.java
@@ -22,6 +22,7 @@
   static final int MAX_READ_BYTES = 4096;
 
   private static final int INPUT_BYTES = 2 * MAX_READ_BYTES;
+  private static final int INITIAL_INPUT_BYTES = 512;
   private static final int INITIAL_OUTPUT_BYTES = 1024;
 
   /** How long {@link #closeGracefully} waits for the remaining output to be sent. */
@@ -33,7 +34,7 @@
    */
   private static final long UNPACED_DISCARD_BYTES = 1 << 20;
 
-  public final ByteRing input = new ByteRing(INPUT_BYTES, INPUT_BYTES);
+  public final ByteRing input;
   public final ByteRing output;
 
   /** Whether the peer opened the connection; false for a dialled one. */
@@ -94,6 +95,7 @@
   Connection(Network network, int maxOutputBytes, boolean inbound) {
     this.network = network;
     this.inbound = inbound;
+    input = new ByteRing(INITIAL_INPUT_BYTES, INPUT_BYTES, network.inputBudget());
     output = new ByteRing(INITIAL_OUTPUT_BYTES, maxOutputBytes, network.outputBudget());
   }
 
@@ -147,6 +149,24 @@
     readPending |= gotBytes;
   }
 
+  /**
+   * Reserves memory for a read; returns how many bytes it may have. If none, reading is suspended
+   * until the event loop has taken what is in {@link #input}.
+   */
+  int prepareRead() {
+    int allowed = input.prepare(MAX_READ_BYTES);
+    if (allowed == 0) {
+      suspendReading();
+      postReadable();
+    }
+    return allowed;
+  }
+
+  /** Takes back what {@link #prepareRead} has reserved for a read that got nothing. */
+  void abandonRead() {
+    input.unprepare();
+  }
+
   /** The peer has shut down its output, rather than reset the connection. */
   void markPeerClosed() {
     peerClosed = true;
@@ -179,9 +199,17 @@
       return;
     }
     if (isInputFull()) {
-      readSuspended = true;
-      session.suspendRead();
+      suspendReading();
     }
+    postReadable();
+  }
+
+  private void suspendReading() {
+    readSuspended = true;
+    session.suspendRead();
+  }
+
+  private void postReadable() {
     if (readablePosted.compareAndSet(false, true)) {
       network.eventQueue.post(this::handleReadable);
     }
@@ -353,7 +381,7 @@
 
   /** Whether {@link #input} is so full that reading is suspended. */
   public boolean isInputFull() {
-    return input.remainingCapacity() < MAX_READ_BYTES;
+    return input.remainingCapacity() < MAX_READ_BYTES || input.isFull();
   }
 
   /**
@@ -406,8 +434,8 @@
   void handleClosed() {
     if (!closed) {
       closed = true;
-      output.clear();
-      output.releaseIfEmpty();
+      input.detachFromBudget();
+      output.detachFromBudget();
       network.forget(this);
       if (network.trafficListener != null && session != null) {
         network.trafficListener.onClosed(session.getId(), closing ? localSide : 1 - localSide);
--- a/mixer/src/main/java/gingerring/net/MemoryBudget.java
+++ b/mixer/src/main/java/gingerring/net/MemoryBudget.java
@@ -44,6 +44,11 @@
     reserved.addAndGet(-bytes);
   }
 
+  /** Returns how many more bytes can be reserved. */
+  long available() {
+    return capacity - reserved.get();
+  }
+
   /** Returns how many bytes are reserved. */
   public long reserved() {
     return reserved.get();
--- a/mixer/src/main/java/gingerring/net/Network.java
+++ b/mixer/src/main/java/gingerring/net/Network.java
@@ -81,6 +81,9 @@
   /** The share of {@link #maxConnections} that inbound connections never get, for sudden dials. */
   private static final double DIAL_ONLY_SHARE = 1 / 16.0;
 
+  /** One connection may buffer this share of what all connections may. */
+  private static final int OUTPUT_SHARES = 4;
+
   final EventQueue eventQueue;
   final Counters counters;
 
@@ -124,6 +127,9 @@
   /** Dials that wait for a free file descriptor, in the order in which they were requested. */
   private final Map<Connection, Runnable> waitingDials = new LinkedHashMap<>();
 
+  /** Limits what all connections have read and not passed on yet, beyond a small buffer each. */
+  private volatile MemoryBudget inputBudget = MemoryBudget.UNLIMITED;
+
   /** Limits what all connections buffer for sending, beyond a small buffer each. */
   private volatile MemoryBudget outputBudget = MemoryBudget.UNLIMITED;
 
@@ -365,9 +371,22 @@
     shortageHandler = task;
   }
 
-  /** Limits what later connections may buffer for sending; called before any connection opens. */
-  public void setOutputBudget(MemoryBudget budget) {
-    outputBudget = budget;
+  /** Limits what connections may buffer in each direction; called before any connection opens. */
+  public void setBudgets(MemoryBudget input, MemoryBudget output) {
+    inputBudget = input;
+    outputBudget = output;
+  }
+
+  /**
+   * Returns how much one connection may buffer for sending: {@code wanted}, or less if that would
+   * be a large part of what all may.
+   */
+  public int limitOutput(int wanted) {
+    return (int) Math.min(wanted, outputBudget.capacity() / OUTPUT_SHARES);
+  }
+
+  MemoryBudget inputBudget() {
+    return inputBudget;
   }
 
   MemoryBudget outputBudget() {
@@ -598,11 +617,25 @@
         return discardRead(connection);
       }
       synchronized (connection) {
-        int count = connection.areReadsBlocked() ? 0 : super.read(session, buffer);
+        int count = connection.areReadsBlocked() ? 0 : readWithinMemory(connection, buffer);
         connection.markRead(count > 0);
         return count;
       }
     }
+
+    /** Reads no more than the connection's input has memory for, with what the buffer has. */
+    private int readWithinMemory(Connection connection, IoBuffer buffer) throws Exception {
+      int limit = Math.min(buffer.capacity(), connection.prepareRead());
+      if (limit <= buffer.position()) {
+        return 0;
+      }
+      buffer.limit(limit);
+      int count = super.read((NioSession) connection.session(), buffer);
+      if (count <= 0 && buffer.position() == 0) {
+        connection.abandonRead();
+      }
+      return count;
+    }
   }
 
   /**
--- a/mixer/src/main/java/gingerring/server/MixerServer.java
+++ b/mixer/src/main/java/gingerring/server/MixerServer.java
@@ -166,7 +166,9 @@
     network = new Network(loop, counts, false, tap);
     MemoryLimits memoryLimits =
         MemoryLimits.of(config.memoryLimitMb(), Runtime.getRuntime().maxMemory());
-    network.setOutputBudget(new MemoryBudget("output", memoryLimits.outputBytes(), counts));
+    network.setBudgets(
+        new MemoryBudget("input", memoryLimits.inputBytes(), counts),
+        new MemoryBudget("output", memoryLimits.outputBytes(), counts));
     requestMemory = new MemoryBudget("requests", memoryLimits.requestBytes(), counts);
     network.setThreadLostHandler(cause -> endProcess("a network thread", cause));
     MemoryBudget answerMemory = new MemoryBudget("answers", memoryLimits.answerBytes(), counts);
@@ -194,7 +196,9 @@
             counts,
             loop,
             loop::post,
-            Math.max(MIN_CONNECTION_SOCKETS, config.socketLimit() - RESERVED_SOCKETS),
+            Math.max(
+                MIN_CONNECTION_SOCKETS,
+                Math.min(config.socketLimit() - RESERVED_SOCKETS, memoryLimits.maxConnections())),
             requestMemory,
             config.cores());
     if (peers != null) {
