--- a/mixer/src/main/java/gingerring/net/ByteRing.java
+++ b/mixer/src/main/java/gingerring/net/ByteRing.java
@@ -22,6 +22,9 @@
    */
   private volatile byte[] bytes = NO_BYTES;
 
+  /** Whether {@link #prepare} has made sure of a put that has not come yet. */
+  private boolean prepared;
+
   /** What {@link #prepare} has reserved and no put has used yet. */
   private int preparedBytes;
 
@@ -75,8 +78,10 @@
     int possible = Math.min(wanted, remainingCapacity());
     int growth = budgeted(lengthFor(size() + possible)) - budgeted(bytes.length);
     if (growth > 0 && !budget.tryReserve(growth)) {
-      return Math.min(possible, Math.max(initialCapacity, bytes.length) - size());
+      possible = Math.min(possible, Math.max(initialCapacity, bytes.length) - size());
+      growth = 0;
     }
+    prepared = possible > 0;
     preparedBytes = Math.max(0, growth);
     return possible;
   }
@@ -92,6 +97,7 @@
 
   /** Takes back what {@link #prepare} has reserved. */
   synchronized void unprepare() {
+    prepared = false;
     budget.release(preparedBytes);
     preparedBytes = 0;
   }
@@ -152,9 +158,12 @@
     return Math.max(0, length - initialCapacity);
   }
 
-  /** Releases the memory of an empty buffer; the next put allocates it again. */
+  /**
+   * Releases the memory of an empty buffer, unless a put has been prepared; the next put allocates
+   * it again.
+   */
   public synchronized void releaseIfEmpty() {
-    if (size() == 0) {
+    if (size() == 0 && !prepared) {
       budget.release(detached ? 0 : budgeted(bytes.length));
       bytes = NO_BYTES;
     }
--- a/mixer/src/main/java/gingerring/net/Connection.java
+++ b/mixer/src/main/java/gingerring/net/Connection.java
@@ -165,6 +165,7 @@
   /** Takes back what {@link #prepareRead} has reserved for a read that got nothing. */
   void abandonRead() {
     input.unprepare();
+    input.releaseIfEmpty();
   }
 
   /** The peer has shut down its output, rather than reset the connection. */
@@ -180,6 +181,7 @@
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
     if (discarding) { // discardInput was called after these bytes were read
+      input.unprepare();
       discard(bytes, bytes.length);
       return;
     }
--- a/mixer/src/test/java/gingerring/net/ByteRingTest.java
+++ b/mixer/src/test/java/gingerring/net/ByteRingTest.java
@@ -72,6 +72,24 @@
     assertEquals(0, budget.reserved());
   }
 
+  /** Guards against a buffer that is released between a read and the put of what was read. */
+  @Test
+  void preparedPutSucceedsAfterARelease() {
+    for (int before : new int[] {0, 1000}) {
+      MemoryBudget budget = new MemoryBudget("rings", 2000, new Counters());
+      ByteRing ring = new ByteRing(512, 8192, budget);
+      assertTrue(ring.put(new byte[before]));
+      int prepared = ring.prepare(1024);
+      assertEquals(1024, prepared);
+      ring.take(new byte[before], 0, before);
+      ring.releaseIfEmpty();
+      while (budget.tryReserve(1)) {
+        // others take all that is left
+      }
+      assertTrue(ring.put(new byte[prepared]), "before: " + before);
+    }
+  }
+
   /** One thread puts while another takes and releases; the buffer grows and shrinks meanwhile. */
   @Test
   void bytesPassFromOneThreadToAnother() throws InterruptedException {
--- a/mixer/src/test/java/gingerring/soak/BadClientSoak.java
+++ b/mixer/src/test/java/gingerring/soak/BadClientSoak.java
@@ -120,6 +120,7 @@
     } else if (mixer.terminate() != 0) {
       violations.add("after SIGTERM the process ended with exit code " + mixer.exitCode());
     }
+    violations.addAll(mixer.faults());
     long memory = limits.coversWholeProcess() ? residentPeak : anonymousPeak;
     if (memory > limits.memoryMb() * 1024L) {
       violations.add("the process took " + memory + " KB of " + limits.memoryMb() + " MB");
--- a/mixer/src/test/java/gingerring/soak/MixerProcess.java
+++ b/mixer/src/test/java/gingerring/soak/MixerProcess.java
@@ -95,6 +95,15 @@
     return List.copyOf(log.subList(Math.max(0, log.size() - count), log.size()));
   }
 
+  /** Returns the counters of violated invariants and failed tasks that the log has at its end. */
+  synchronized List<String> faults() {
+    return log.stream()
+        .filter(line -> line.contains("ended; counts: "))
+        .flatMap(line -> Stream.of(line.split("(counts: |, )")))
+        .filter(counter -> counter.startsWith("broken: ") || counter.startsWith("failures in "))
+        .toList();
+  }
+
   private void awaitReady() throws IOException, InterruptedException {
     long deadline = System.nanoTime() + READY_TIMEOUT_MS * 1_000_000L;
     while (true) {
