Wait longer for discovery's first byte while calls fail without one

Cause: each call was given up after 1 s without a byte, the last as the first.

Change: a call that fails without a byte doubles the time that calls may wait for theirs, up to the 2.5 s for which a sound watch may be silent; a first line within 1 s sets it back.

--- a/mixer/src/main/java/gingerring/discovery/DiscoveryWatch.java
+++ b/mixer/src/main/java/gingerring/discovery/DiscoveryWatch.java
@@ -139,6 +139,13 @@
    */
   private Call previousWatch;
 
+  /**
+   * How long a call may wait for its first byte: {@link #LINE_TIMEOUT}, and up to {@link
+   * #SILENCE_TIMEOUT} while calls fail without one. Guards against a service that is slow or
+   * crowded and would never be heard, as each call is given up before it answers.
+   */
+  private Duration firstByteTimeout = LINE_TIMEOUT;
+
   private Duration lastCallAt = Duration.ZERO;
 
   /** Whether a timer for the next retry is running. */
@@ -333,6 +340,8 @@
     /** When bytes of the response last arrived; before that, the start of the call. */
     private Duration lastByteAt = startedAt;
 
+    private boolean byteReceived;
+
     /** When a complete line last arrived; before that, the start of the call. */
     private Duration lastLineAt = startedAt;
 
@@ -372,6 +381,9 @@
     private void checkSilence() {
       Duration remaining = silenceDeadline().minus(clock.now());
       if (remaining.isNegative() || remaining.isZero()) {
+        if (!byteReceived) {
+          firstByteTimeout = min(firstByteTimeout.multipliedBy(2), SILENCE_TIMEOUT);
+        }
         fail("silent");
       } else {
         clock.schedule(
@@ -394,6 +406,9 @@
       if (lineCount > 0 && lineBuffer.size() == 0) {
         return lastLineAt.plus(SILENCE_TIMEOUT);
       }
+      if (!byteReceived) {
+        return startedAt.plus(firstByteTimeout);
+      }
       return min(
           lastByteAt.plus(LINE_TIMEOUT),
           (lineCount > 0 ? lineStartedAt : startedAt).plus(SILENCE_TIMEOUT));
@@ -409,6 +424,7 @@
     @Override
     public void onReadable() {
       lastByteAt = clock.now();
+      byteReceived = true;
       try {
         while (!ended && connection.input.size() > 0) {
           parser.parse(connection.input);
@@ -477,6 +493,9 @@
       MemberListUpdate update = hasList ? parseUpdate(line) : null;
       lineCount++;
       lastLineAt = lastByteAt;
+      if (lastLineAt.minus(startedAt).compareTo(LINE_TIMEOUT) < 0) {
+        firstByteTimeout = LINE_TIMEOUT; // the service is fast again
+      }
       if (streaming && pendingWatches.remove(this)) {
         activeWatch = this; // the first to deliver a line; the other pending watches are not needed
         endPendingWatches();
--- a/mixer/src/test/java/gingerring/server/DiscoveryWatchTest.java
+++ b/mixer/src/test/java/gingerring/server/DiscoveryWatchTest.java
@@ -158,6 +158,38 @@
     second.close();
   }
 
+  /**
+   * Guards against a slow agent that is never heard: each call was given up after a second without
+   * a byte, however many had been before, so that drains stayed unknown.
+   */
+  @Test
+  void hearsAnAgentThatBeginsEachAnswerLate() throws Exception {
+    int delayMs = 1500;
+    MixerTestHarness.runInBackground(
+        () -> {
+          while (true) {
+            Socket call = agent.accept();
+            MixerTestHarness.runInBackground(
+                () -> {
+                  try {
+                    Thread.sleep(delayMs);
+                  } catch (InterruptedException e) {
+                    return;
+                  }
+                  call.getOutputStream()
+                      .write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+                  sendLine(call, memberListLine(5, true));
+                });
+          }
+        });
+    startWatch(0, loop);
+    String notification = nextNotification();
+    while ("failed".equals(notification)) {
+      notification = nextNotification();
+    }
+    assertEquals("list 5", notification);
+  }
+
   /**
    * Guards against an outdated agent whose list brings back searchers that are known to be draining
    * or gone.
