--- a/mixer/src/test/java/gingerring/soak/BadClientSoak.java
+++ b/emulator/src/main/java/gingerring/emulator/soak/BadClientSoak.java
@@ -1,4 +1,4 @@
-package gingerring.soak;
+package gingerring.emulator.soak;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -15,8 +15,8 @@
  * Plays bad clients, hundreds at once, beside a few usual ones. Exits with 0 if each usual request
  * had its final answer in time, the process lived and kept to its limits, and with 1 otherwise.
  *
- * <p>Run from the root after the build of the deploy file: {@code java -cp
- * mixer/target/test-classes gingerring.soak.BadClientSoak SEED SECONDS MEMORY_MB SOCKETS [CORES]}.
+ * <p>Run from the root after the build of the deploy file: {@code java -cp emulator/target/classes
+ * gingerring.emulator.soak.BadClientSoak SEED SECONDS MEMORY_MB SOCKETS [CORES]}.
  */
 public final class BadClientSoak {
   private static final int USUAL_CLIENTS = 6;
--- a/mixer/src/test/java/gingerring/soak/UsualClient.java
+++ b/emulator/src/main/java/gingerring/emulator/soak/UsualClient.java
@@ -1,4 +1,4 @@
-package gingerring.soak;
+package gingerring.emulator.soak;
 
 import java.io.IOException;
 import java.net.Socket;
